--- /dev/null
+++ b/corallanding/__init__.py
@@ -0,0 +1,1 @@
+"""corallanding: a steward that tells plain proxies where each slice of work goes."""
--- /dev/null
+++ b/corallanding/balance.py
@@ -0,0 +1,386 @@
+"""Every decision of the steward: which server each slice of work goes to, and when it moves.
+
+Call `Assigner(settings, seed).step(now, events) -> list[Action]` with whatever happened since the last call;
+`now` is in milliseconds and never goes back. Events, actions and settings stand in `interface.py`. The
+mechanism, and each departure from it with the condition under which it acts, stand in `docs/design.md`.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import zlib
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from .interface import (
+    ALL_TABLES, Acked, Action, Due, Event, FetchList, Follow, HostEntry, HostSums, Level, ListForm, Mark,
+    Membership, Note, OnRecord, Probe, ProbeDone, ProbeEnd, ProxyJoined, ProxyLeft, Remind, Repeat, Retry, SetLine,
+    Settings, SliceGiven, SliceSums,
+)  # fmt: skip
+
+CLEAR = 6_000.0  # ms without word of failing after which a server may own again (design)
+HOLD = 5_000.0  # ms that the old owner stays listed at most while acks are out (design)
+RAMP = 0.6  # of the stated cold time: how long a new server takes to get its full share (about 10 s)
+SITTING = 8.0  # times the number of slices: what a sitting owner's score counts more than a stranger's
+ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
+CROWDED = 0.5  # of the tightest latency objective: a mean answer slower than this says a server is crowded
+SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
+WRAP = 65536  # marks are numbered below this
+
+# One row a way of repeating: how proxies may try again on our orders. What may have run goes again only if
+# it is idempotent: fingerprinted work could land outside the group that drops repeats.
+TRY_AGAIN = {
+    Repeat.IDEMPOTENT: Retry.ONCE,
+    Repeat.FINGERPRINTED: Retry.PROVEN_UNRUN,
+    Repeat.SIDE_EFFECTING: Retry.PROVEN_UNRUN,
+}
+
+
+@dataclass(eq=False)
+class Host:
+    """All that is known of one server."""
+
+    id: int
+    entry: HostEntry
+    listed: bool = True
+    since: float = -math.inf  # start of the present process, as far as known
+    told: float = -math.inf  # when this start was heard of
+    failed_at: float = -math.inf  # when it was last heard failing
+    good: float = 0.0  # fading counts of tries answered and not
+    bad: float = 0.0
+    heard: float = -math.inf
+    latency: float = 0.0  # smoothed mean answer
+    floor: float = 0.0  # the same when uncrowded: its speed
+    load: float = 0.0  # invocations a second of the slices that it owns
+    marks: dict[int, float] = field(default_factory=dict)  # -1/ln(hash) by slice
+    probing: bool = False
+    taken: int = 0  # slices given this turn
+
+
+@dataclass(eq=False)
+class Slice:
+    id: int
+    lines: dict[Host, float] = field(default_factory=dict)
+    owner: Host | None = None
+    rate: float = 0.0
+    want: Host | None = None  # destination whose soundness is awaited
+    want_at: float = 0.0
+    hold_mark: int = -1  # the old owner is listed until all have acked this
+    hold_end: float = 0.0
+    rates: dict[int, float] = field(default_factory=dict)
+
+
+@dataclass(eq=False)
+class Proxy:
+    id: int
+    zone: int
+    rate: float
+    sent: deque[float] = field(default_factory=deque)
+    unacked: deque[tuple[int, float]] = field(default_factory=deque)
+
+
+class Assigner:
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.set, self.seed, self.draws = settings, seed, 0
+        self.hosts: dict[int, Host] = {}
+        self.slices: dict[int, Slice] = {}
+        self.proxies: dict[int, Proxy] = {}
+        self.out: list[Action] = []
+        self.now = 0.0
+        self.mark = 0
+        self.fresh = False  # a list newer than the saved one has come
+        self.started = False
+        self.urgent = False
+        self.levels_due = True
+        self.turn = max(settings.report_every / 2, settings.period)
+        if settings.messages_most:
+            self.turn = max(self.turn, settings.messages_span / (settings.messages_most * SPARE))
+        self.tight = min((o.latency_objective for o in settings.operations), default=1000.0)
+
+    # ---- the door ------------------------------------------------------------------------------------
+
+    def step(self, now: float, events: Sequence[Event]) -> list[Action]:
+        self.now, self.out = now, []
+        turn = False
+        if not self.started:
+            self.started = turn = True
+            self.out.append(Remind(self.turn, 0))
+            if self.set.list_on_request:
+                self.out.append(Follow(True))
+        for e in events:
+            match e:
+                case HostSums():
+                    self.heard(e)
+                case SliceSums():
+                    self.demand(e)
+                case Membership():
+                    self.listed(e)
+                case Acked():
+                    self.acked(e)
+                case ProbeDone():
+                    self.probed(e)
+                case SliceGiven():
+                    self.slices.pop(e.slice, None)
+                    if e.on:
+                        self.slices[e.slice] = Slice(e.slice)
+                        self.urgent = self.levels_due = True
+                case OnRecord():
+                    if e.slice in self.slices:
+                        self.slices[e.slice].lines[self.host(e.host)] = e.weight
+                case ProxyJoined():
+                    self.proxies[e.proxy] = Proxy(e.proxy, e.zone, e.rate)
+                case ProxyLeft():
+                    self.proxies.pop(e.proxy, None)
+                case Due(handle=0):
+                    turn = True
+                    self.out.append(Remind(self.turn, 0))
+                case Due(handle=1):
+                    self.out.append(Follow(True))
+                case _:
+                    pass
+        if turn or self.urgent:
+            self.plan(turn)
+        return self.out
+
+    def chance(self) -> float:
+        self.draws += 1
+        return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
+
+    def host(self, id: int) -> Host:
+        if id not in self.hosts:
+            self.hosts[id] = Host(id, HostEntry(id), listed=False)
+        return self.hosts[id]
+
+    # ---- what is heard -------------------------------------------------------------------------------
+
+    def listed(self, e: Membership) -> None:
+        if e.form is ListForm.FAILED:
+            # Ask again soon, spread by chance: the ask rule counts silence as knowledge.
+            self.out.append(Remind(self.set.ask_within * (0.05 + 0.1 * self.chance()), 1))
+            return
+        self.fresh = self.fresh or e.form is not ListForm.SAVED
+        if e.form is not ListForm.CHANGES:
+            here = {entry.host for entry in e.entries}
+            for h in self.hosts.values():
+                if h.id not in here and h.listed:
+                    h.listed, self.urgent = False, True
+        for entry in e.entries:
+            h = self.host(entry.host)
+            if entry.online_since > h.since:
+                # A new process: what was heard of the old one says nothing of it.
+                if h.since > -math.inf or entry.online_since > self.now - self.set.cold:
+                    h.told = self.now
+                    h.failed_at, h.good, h.bad = -math.inf, 0.0, 0.0
+                h.since = entry.online_since
+            was = h.listed and h.entry.state == "up"
+            h.entry, h.listed = entry, entry.state != "removed"
+            if was and entry.state != "up":
+                self.urgent = True
+
+    def heard(self, e: HostSums) -> None:
+        h = self.host(e.host)
+        if self.now - h.told < self.set.report_every + self.set.transit:
+            return  # sums from before a restart
+        keep = 0.5 ** (e.span / max(1.0, self.set.report_every))
+        good = e.tries - e.errored
+        h.good, h.bad, h.heard = h.good * keep + good, h.bad * keep + e.errored, self.now
+        if good > 0 and e.latency > 0:
+            part = good / (good + 6.0)
+            h.latency += (e.latency - h.latency) * (part if h.latency else 1.0)
+            h.floor = h.floor or h.latency
+            h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.02)
+        if h.bad >= 4 and h.bad > 4 * h.good:
+            self.failing(h)
+
+    def probed(self, e: ProbeDone) -> None:
+        h = self.host(e.host)
+        h.probing = False
+        if e.end in (ProbeEnd.UNREACHABLE, ProbeEnd.RESET):
+            h.bad += 2
+            if h.bad > 4 * h.good:
+                self.failing(h)
+
+    def failing(self, h: Host) -> None:
+        if self.now - h.failed_at > CLEAR:
+            self.out.append(Note(f"failing {h.id} good={h.good:.1f} bad={h.bad:.1f}"))
+            self.urgent = True
+        h.failed_at = self.now
+
+    def demand(self, e: SliceSums) -> None:
+        if (s := self.slices.get(e.slice)) and e.span > 0:
+            rate = e.invocations * 1000.0 / e.span
+            old = s.rates.get(e.operation)
+            part = 1.0 if old is None else 1.0 - 0.5 ** (e.span / 2000.0)
+            s.rates[e.operation] = (old or 0.0) + (rate - (old or 0.0)) * part
+            s.rate = sum(s.rates.values())
+
+    def acked(self, e: Acked) -> None:
+        if p := self.proxies.get(e.proxy):
+            while p.unacked and (e.number - p.unacked[0][0]) % WRAP < WRAP // 2:
+                p.unacked.popleft()
+
+    # ---- judging -------------------------------------------------------------------------------------
+
+    def leaving(self, h: Host) -> bool:
+        """Told to be gone or draining: nothing may go there."""
+        return h.entry.state != "up" or (not h.listed and self.fresh)
+
+    def sound(self, h: Host) -> bool:
+        return h.listed and h.entry.state == "up" and self.now - h.failed_at > CLEAR
+
+    def warm(self, h: Host) -> float:
+        """What part of its capacity a server has, by the time since it started."""
+        age = (self.now - h.since) / (RAMP * self.set.cold or 1.0)
+        return min(1.0, self.set.cold_from + (1.0 - self.set.cold_from) * age)
+
+    def score(self, s: Slice, h: Host) -> float:
+        if s.id not in h.marks:
+            raw = hashlib.blake2b(f"{s.id}:{h.id}".encode(), digest_size=8).digest()
+            h.marks[s.id] = -1.0 / math.log((int.from_bytes(raw, "big") + 0.5) / 2.0**64)
+        mine = SITTING * self.set.slices if s.owner is h else 1.0
+        return h.entry.weight * h.marks[s.id] * mine
+
+    def capacity(self, h: Host) -> float:
+        return h.entry.weight * self.warm(h) / (h.floor or self.typical)
+
+    def survey(self) -> None:
+        """Fair load for each server, from the slices' demand and the servers' speeds."""
+        floors = sorted(h.floor for h in self.hosts.values() if h.floor and h.listed)
+        self.typical = floors[len(floors) // 2] if floors else 1.0
+        known = [s.rate for s in self.slices.values() if s.rates]
+        usual = sum(known) / len(known) if known else 1.0
+        for h in self.hosts.values():
+            h.load, h.taken = 0.0, 0
+        total = 0.0
+        for s in self.slices.values():
+            s.rate = s.rate if s.rates else usual
+            total += s.rate
+            if s.owner:
+                s.owner.load += s.rate
+        self.pool = [h for h in self.hosts.values() if self.sound(h)]
+        if not self.pool:  # all failing at once: the path, not the servers
+            self.pool = [h for h in self.hosts.values() if h.listed and h.entry.state == "up"]
+        space = sum(self.capacity(h) for h in self.pool)
+        self.mean = total / space if space else 0.0
+
+    def used(self, h: Host, more: float = 0.0) -> float:
+        return (h.load + more) / (self.capacity(h) * self.mean) if self.mean else 0.0
+
+    def best(self, s: Slice) -> Host | None:
+        """The top scorer among servers with room; the least used where none has any."""
+        room = [h for h in self.pool if h is not s.owner and self.used(h, s.rate) <= ROOM]
+        if room:
+            return max(room, key=lambda h: self.score(s, h))
+        rest = [h for h in self.pool if h is not s.owner]
+        return min(rest, key=lambda h: self.used(h, s.rate)) if rest else None
+
+    # ---- orders --------------------------------------------------------------------------------------
+
+    def may_send(self, urgent: bool) -> bool:
+        part = 1.0 if urgent else SPARE
+        most = int(self.set.messages_most * part) - (1 if urgent else 0)
+        for p in self.proxies.values():
+            while p.sent and p.sent[0] <= self.now - self.set.messages_span - 1.0:
+                p.sent.popleft()
+            if self.set.messages_most and len(p.sent) >= most:
+                return False
+        waiting = sum(cost for p in self.proxies.values() for _, cost in p.unacked)
+        return waiting < self.set.queue_most * 0.5 * (1.5 if urgent else 1.0)
+
+    def line(self, s: Slice, h: Host, weight: float) -> None:
+        if s.lines.get(h, 0.0) != weight:
+            self.out.append(SetLine(s.id, h.id, weight))
+            if weight:
+                s.lines[h] = weight
+            else:
+                s.lines.pop(h, None)
+
+    def give(self, s: Slice, h: Host, hold: bool) -> None:
+        """Make `h` the owner: the new line first, then the old ones go, or stay until acks."""
+        old, s.owner, s.want = s.owner, h, None
+        self.line(s, h, 1.0)
+        for other in [x for x in s.lines if x is not h]:
+            if not (hold and other is old):
+                self.line(s, other, 0.0)
+        if old:
+            old.load -= s.rate
+        h.load += s.rate
+        h.taken += 1
+        if hold:
+            s.hold_mark, s.hold_end = (self.mark + 1) % WRAP, self.now + HOLD
+        else:
+            s.hold_mark = -1
+
+    def plan(self, turn: bool) -> None:
+        before = len(self.out)
+        if not self.may_send(True):
+            return
+        self.survey()
+        for s in self.slices.values():
+            if s.owner is None and s.lines:
+                s.owner = max(s.lines, key=lambda h: (s.lines[h], self.score(s, h)))
+                s.owner.load += s.rate
+                if len(s.lines) > 1:
+                    s.hold_mark, s.hold_end = self.mark, self.now + HOLD
+        self.urgent = False
+        self.leave()
+        if turn and self.may_send(False):
+            self.release()
+            self.move()
+        orders = len(self.out) - before
+        if self.levels_due and self.slices and self.proxies:
+            self.levels_due = False
+            for k, o in enumerate(self.set.operations):
+                self.out.append(Level(ALL_TABLES, 1 << k, 1.0, TRY_AGAIN[o.repeat]))
+                orders += 1
+        if orders:
+            self.mark = (self.mark + 1) % WRAP
+            self.out.append(Mark(self.mark))
+            for p in self.proxies.values():
+                p.sent.append(self.now)
+                p.unacked.append((self.mark, self.set.message_head + orders + 1 + len(self.set.operations)))
+
+    def leave(self) -> None:
+        """Slices without an owner, or whose owner is dead or draining, go at once, the busiest first."""
+        lost = [s for s in self.slices.values() if s.owner is None or s.owner not in self.pool]
+        for s in sorted(lost, key=lambda s: (-s.rate, s.id)):
+            if s.owner and not s.owner.listed and not self.fresh:
+                continue  # the saved list may be older than this line
+            if to := self.best(s):
+                self.give(s, to, hold=False)
+        for s in self.slices.values():
+            for h in [h for h in s.lines if h is not s.owner and self.leaving(h)]:
+                self.line(s, h, 0.0)
+
+    def release(self) -> None:
+        """Old owners go once every proxy has acked, or the hold ends."""
+        for s in self.slices.values():
+            if s.hold_mark >= 0:
+                out = any((s.hold_mark - m) % WRAP < WRAP // 2 or m == s.hold_mark
+                          for p in self.proxies.values() for m, _ in p.unacked)  # fmt: skip
+                if not out or self.now >= s.hold_end:
+                    s.hold_mark = -1
+                    for h in [h for h in s.lines if h is not s.owner]:
+                        self.line(s, h, 0.0)
+
+    def move(self) -> None:
+        """Moves off live owners: won by a better score, or off a crowded server; gated and paced."""
+        for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
+            if s.owner is None or s.hold_mark >= 0:
+                continue
+            to = self.best(s)
+            crowded = s.owner.latency > CROWDED * self.tight and self.used(s.owner) > ROOM
+            if to is None or (not crowded and self.score(s, to) <= self.score(s, s.owner)):
+                s.want = None
+                continue
+            if crowded and self.used(to, s.rate) >= self.used(s.owner):
+                continue
+            if s.want is not to:
+                s.want, s.want_at = to, self.now
+                if self.set.may_probe and not to.probing and self.now - to.heard > self.set.report_every:
+                    to.probing = True
+                    self.out.insert(0, Probe(to.id))
+            elif self.now - s.want_at >= self.set.report_every and not to.taken:
+                self.give(s, to, hold=True)
--- /dev/null
+++ b/tests/helper.py
@@ -0,0 +1,71 @@
+"""Drives an assigner by hand and prints its decisions as a short trace."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from corallanding import interface as api
+from corallanding.balance import Assigner
+
+TRACES = Path(__file__).parent / "traces"
+QUOTE = api.Operation("quote", api.Repeat.IDEMPOTENT, "all", 5000, 3, 0.1, 1200, 3000)
+CLAIM = api.Operation("claim", api.Repeat.SIDE_EFFECTING, "all", 5000, 2, 0.2, 1500, 5000, writes=True)
+SETTINGS = dict(
+    operations=(QUOTE, CLAIM), slices=8, proxies=2, drain_grace=3000.0, cold=16000.0, report_every=1000.0,
+    queue_most=4000.0, may_probe=True,
+)  # fmt: skip
+
+
+def up(host: int, state: str = "up", since: float = 0.0) -> api.HostEntry:
+    return api.HostEntry(host, zone=host % 2, state=state, online_since=since)
+
+
+class Rig:
+    def __init__(self, **over: object) -> None:
+        self.assigner = Assigner(api.Settings(**{**SETTINGS, **over}), seed=7)  # type: ignore[arg-type]
+        self.now, self.lines, self.due = 100_000.0, [], []
+
+    def say(self, text: str) -> None:
+        self.lines.append(f"# {text}")
+
+    def step(self, *events: api.Event) -> None:
+        for a in self.assigner.step(self.now, events):
+            if isinstance(a, api.Remind):
+                self.due.append((self.now + a.after, a.handle))
+            else:
+                shown = ", ".join(f"{k}={getattr(v, 'name', v)}" for k, v in vars(a).items())
+                self.lines.append(f"{self.now / 1000 - 100:8.3f} s  {type(a).__name__}({shown})")
+
+    def start(self, hosts: list[api.HostEntry], owners: dict[int, int] | None = None, proxies: int = 2) -> None:
+        events: list[api.Event] = [api.Membership(api.ListForm.SAVED, 1, tuple(hosts))]
+        for s in range(8):
+            events.append(api.SliceGiven(s, True))
+            if owners and s in owners:
+                events.append(api.OnRecord(s, owners[s], 1.0))
+        self.step(*events, *(api.ProxyJoined(p, p % 2, 10.0, True) for p in range(proxies)))
+
+    def run(self, seconds: float, each: Callable[[], list[api.Event]] | None = None, ack: bool = True) -> None:
+        """Timers fall due; proxies ack 200 ms after an order; `each` speaks once a second."""
+        end, beat = self.now + seconds * 1000, self.now + 1000
+        while True:
+            at = min([t for t, _ in self.due] + [beat, end])
+            if at >= end:
+                self.now = end
+                return
+            self.now = at
+            events: list[api.Event] = [api.Due(h) for t, h in self.due if t <= at]
+            self.due = [(t, h) for t, h in self.due if t > at]
+            if ack:
+                events += [api.Acked(p, self.assigner.mark) for p in self.assigner.proxies]
+            if at >= beat:
+                beat += 1000
+                events += each() if each else []
+            self.step(*events)
+
+    def check(self, name: str) -> None:
+        path, text = TRACES / f"{name}.txt", "\n".join(self.lines) + "\n"
+        if os.environ.get("CORALLANDING_TRACES") == "write":
+            path.write_text(text)
+        assert text == path.read_text()
