--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -25,7 +25,9 @@
 RAMP = 0.6  # of the stated cold time: how long a new server takes to get its full share (about 10 s)
 SITTING = 8.0  # times the number of slices: what a sitting owner's score counts more than a stranger's
 ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
-CROWDED = 0.5  # of the tightest latency objective: a mean answer slower than this says a server is crowded
+CROWDED = 0.5  # strain (see `Host.strain`) above which a server is crowded
+WORSE = 1.5  # and so many times the fleet's median: trouble that all share is not a server's
+DEAD = 0.92  # share of tries unanswered above which a server is failing; a crowded one still answers some
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
 WRAP = 65536  # marks are numbered below this
 
@@ -57,6 +59,12 @@
     marks: dict[int, float] = field(default_factory=dict)  # -1/ln(hash) by slice
     probing: bool = False
     taken: int = 0  # slices given this turn
+    shed_at: float = -math.inf  # when a slice last left it for being crowded
+
+    def strain(self, objective: float) -> float:
+        """Mean answer over the latency objective; a try without an answer counts as two objectives."""
+        tries = self.good + self.bad
+        return (self.good * self.latency / objective + self.bad * 2.0) / tries if tries >= 1.0 else 0.0
 
 
 @dataclass(eq=False)
@@ -191,7 +199,7 @@
             h.latency += (e.latency - h.latency) * (part if h.latency else 1.0)
             h.floor = h.floor or h.latency
             h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.02)
-        if h.bad >= 4 and h.bad > 4 * h.good:
+        if h.bad >= 4 and h.bad > DEAD * (h.good + h.bad):
             self.failing(h)
 
     def probed(self, e: ProbeDone) -> None:
@@ -199,7 +207,7 @@
         h.probing = False
         if e.end in (ProbeEnd.UNREACHABLE, ProbeEnd.RESET):
             h.bad += 2
-            if h.bad > 4 * h.good:
+            if h.bad >= 4 and h.bad > DEAD * (h.good + h.bad):
                 self.failing(h)
 
     def failing(self, h: Host) -> None:
@@ -260,9 +268,12 @@
             if s.owner:
                 s.owner.load += s.rate
         self.pool = [h for h in self.hosts.values() if self.sound(h)]
-        if not self.pool:  # all failing at once: the path, not the servers
-            self.pool = [h for h in self.hosts.values() if h.listed and h.entry.state == "up"]
-        space = sum(self.capacity(h) for h in self.pool)
+        listed = [h for h in self.hosts.values() if h.listed and h.entry.state == "up"]
+        if len(self.pool) * 2 < len(listed):  # most failing at once: the path or the work, not the servers
+            self.pool = listed
+        space = sum(self.capacity(h) for h in listed)
+        strains = sorted(h.strain(self.tight) for h in listed)
+        self.strained = max(CROWDED, WORSE * strains[len(strains) // 2]) if strains else CROWDED
         self.mean = total / space if space else 0.0
 
     def used(self, h: Host, more: float = 0.0) -> float:
@@ -371,11 +382,12 @@
             if s.owner is None or s.hold_mark >= 0:
                 continue
             to = self.best(s)
-            crowded = s.owner.latency > CROWDED * self.tight and self.used(s.owner) > ROOM
+            crowded = (s.owner.strain(self.tight) > self.strained
+                       and self.now - s.owner.shed_at > self.set.report_every + 2 * self.set.transit)  # fmt: skip
             if to is None or (not crowded and self.score(s, to) <= self.score(s, s.owner)):
                 s.want = None
                 continue
-            if crowded and self.used(to, s.rate) >= self.used(s.owner):
+            if crowded and to.strain(self.tight) * WORSE > s.owner.strain(self.tight):
                 continue
             if s.want is not to:
                 s.want, s.want_at = to, self.now
@@ -383,4 +395,6 @@
                     to.probing = True
                     self.out.insert(0, Probe(to.id))
             elif self.now - s.want_at >= self.set.report_every and not to.taken:
+                if crowded:
+                    s.owner.shed_at = self.now
                 self.give(s, to, hold=True)
