--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -22,7 +22,7 @@
 
 CLEAR = 6_000.0  # ms without word of failing after which a server may own again (design)
 HOLD = 5_000.0  # ms that the old owner stays listed at most while acks are out (design)
-RAMP = 0.6  # of the stated cold time: how long a new server takes to get its full share (about 10 s)
+TIPPING = 0.4  # of the stated fall multiple: load over its fair part at which a cold server sheds at once
 SITTING = 8.0  # times the number of slices: what a sitting owner's score counts more than a stranger's
 ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
 CROWDED = 0.5  # strain (see `Host.strain`) above which a server is crowded
@@ -238,10 +238,13 @@
     def sound(self, h: Host) -> bool:
         return h.listed and h.entry.state == "up" and self.now - h.failed_at > CLEAR
 
+    def cold(self, h: Host) -> bool:
+        return self.now - h.since < self.set.cold
+
     def warm(self, h: Host) -> float:
-        """What part of its capacity a server has, by the time since it started."""
-        age = (self.now - h.since) / (RAMP * self.set.cold or 1.0)
-        return min(1.0, self.set.cold_from + (1.0 - self.set.cold_from) * age)
+        """What part of its capacity a server has at least, by the time since it started."""
+        age = min(1.0, (self.now - h.since) / (self.set.cold or 1.0))
+        return self.set.cold_from + (1.0 - self.set.cold_from) * age
 
     def score(self, s: Slice, h: Host) -> float:
         if s.id not in h.marks:
@@ -280,11 +283,12 @@
         return (h.load + more) / (self.capacity(h) * self.mean) if self.mean else 0.0
 
     def best(self, s: Slice) -> Host | None:
-        """The top scorer among servers with room; the least used where none has any."""
+        """The top scorer among servers with room; the least used warm one where none has any."""
         room = [h for h in self.pool if h is not s.owner and self.used(h, s.rate) <= ROOM]
         if room:
             return max(room, key=lambda h: self.score(s, h))
         rest = [h for h in self.pool if h is not s.owner]
+        rest = [h for h in rest if not self.cold(h)] or rest
         return min(rest, key=lambda h: self.used(h, s.rate)) if rest else None
 
     # ---- orders --------------------------------------------------------------------------------------
@@ -356,6 +360,14 @@
     def leave(self) -> None:
         """Slices without an owner, or whose owner is dead or draining, go at once, the busiest first."""
         lost = [s for s in self.slices.values() if s.owner is None or s.owner not in self.pool]
+        # A cold server that holds too much (it died with its slices and came back, or they grew) tips over.
+        most = TIPPING * self.set.fall_multiple
+        for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
+            h = s.owner
+            if h and h in self.pool and self.cold(h) and self.used(h) > most and any(not self.cold(x) for x in self.pool):
+                h.load -= s.rate
+                lost.append(s)
+                s.owner = None
         for s in sorted(lost, key=lambda s: (-s.rate, s.id)):
             if s.owner and not s.owner.listed and not self.fresh:
                 continue  # the saved list may be older than this line
