--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -27,7 +27,9 @@
 ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
 CROWDED = 0.5  # strain (see `Host.strain`) above which a server is crowded
 WORSE = 1.5  # and so many times the fleet's median: trouble that all share is not a server's
-DEAD = 0.92  # share of tries unanswered above which a server is failing; a crowded one still answers some
+DEAD = 0.98  # share of tries unanswered above which a server is failing; a crowded one still answers some
+FULL = 0.8  # median strain of the fleet above which less is let in, where the site admits by share
+EASE = 0.5  # and below which more is
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
 WRAP = 65536  # marks are numbered below this
 
@@ -102,6 +104,8 @@
         self.started = False
         self.urgent = False
         self.levels_due = True
+        self.level = 1.0
+        self.level_at = 0.0
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
             self.turn = max(self.turn, settings.messages_span / (settings.messages_most * SPARE))
@@ -276,11 +280,16 @@
             self.pool = listed
         space = sum(self.capacity(h) for h in listed)
         strains = sorted(h.strain(self.tight) for h in listed)
-        self.strained = max(CROWDED, WORSE * strains[len(strains) // 2]) if strains else CROWDED
+        self.median = strains[len(strains) // 2] if strains else 0.0
+        self.strained = max(CROWDED, WORSE * self.median)
+        # Where much goes unanswered, a fair part is more than a server can do: cold ones get less.
+        good, bad = sum(h.good for h in listed), sum(h.bad for h in listed)
+        self.excess = (good + bad) / max(good, 1.0) if good + bad > 1.0 else 1.0
         self.mean = total / space if space else 0.0
 
     def used(self, h: Host, more: float = 0.0) -> float:
-        return (h.load + more) / (self.capacity(h) * self.mean) if self.mean else 0.0
+        part = (h.load + more) / (self.capacity(h) * self.mean) if self.mean else 0.0
+        return part * self.excess if self.cold(h) else part
 
     def best(self, s: Slice) -> Host | None:
         """The top scorer among servers with room; the least used warm one where none has any."""
@@ -344,11 +353,12 @@
         if turn and self.may_send(False):
             self.release()
             self.move()
+            self.admit()
         orders = len(self.out) - before
         if self.levels_due and self.slices and self.proxies:
             self.levels_due = False
             for k, o in enumerate(self.set.operations):
-                self.out.append(Level(ALL_TABLES, 1 << k, 1.0, TRY_AGAIN[o.repeat]))
+                self.out.append(Level(ALL_TABLES, 1 << k, self.level, TRY_AGAIN[o.repeat]))
                 orders += 1
         if orders:
             self.mark = (self.mark + 1) % WRAP
@@ -377,6 +387,18 @@
             for h in [h for h in s.lines if h is not s.owner and self.leaving(h)]:
                 self.line(s, h, 0.0)
 
+    def admit(self) -> None:
+        """Let in less while the whole fleet is strained: what waits too long is worth nothing."""
+        if self.set.admission != "fraction" or self.now - self.level_at < self.set.report_every + 2 * self.set.transit:
+            return
+        level = self.level
+        if self.median > FULL:
+            level = max(0.2, level * 0.8)
+        elif self.median < EASE:
+            level = min(1.0, level * 1.1)
+        if level != self.level:
+            self.level, self.level_at, self.levels_due = level, self.now, True
+
     def release(self) -> None:
         """Old owners go once every proxy has acked, or the hold ends."""
         for s in self.slices.values():
