--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -27,7 +27,7 @@
 ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
 CROWDED = 0.5  # strain (see `Host.strain`) above which a server is crowded
 WORSE = 1.5  # and so many times the fleet's median: trouble that all share is not a server's
-DEAD = 0.98  # share of tries unanswered above which a server is failing; a crowded one still answers some
+RUN = 4.0  # tries in a row without an answer that make a server failing, when the fleet answers all
 FULL = 0.8  # median strain of the fleet above which less is let in, where the site admits by share
 EASE = 0.5  # and below which more is
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
@@ -54,6 +54,7 @@
     failed_at: float = -math.inf  # when it was last heard failing
     good: float = 0.0  # fading counts of tries answered and not
     bad: float = 0.0
+    run: int = 0  # tries in a row without an answer
     heard: float = -math.inf
     latency: float = 0.0  # smoothed mean answer
     floor: float = 0.0  # the same when uncrowded: its speed
@@ -104,7 +105,7 @@
         self.started = False
         self.urgent = False
         self.levels_due = True
-        self.level = 1.0
+        self.level = self.excess = 1.0
         self.level_at = 0.0
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
@@ -184,7 +185,7 @@
                 # A new process: what was heard of the old one says nothing of it.
                 if h.since > -math.inf or entry.online_since > self.now - self.set.cold:
                     h.told = self.now
-                    h.failed_at, h.good, h.bad = -math.inf, 0.0, 0.0
+                    h.failed_at, h.good, h.bad, h.run = -math.inf, 0.0, 0.0, 0
                 h.since = entry.online_since
             was = h.listed and h.entry.state == "up"
             h.entry, h.listed = entry, entry.state != "removed"
@@ -203,18 +204,20 @@
             h.latency += (e.latency - h.latency) * (part if h.latency else 1.0)
             h.floor = h.floor or h.latency
             h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.02)
-        if h.bad >= 4 and h.bad > DEAD * (h.good + h.bad):
-            self.failing(h)
+        h.run = 0 if good else h.run + e.errored
+        self.failing(h)
 
     def probed(self, e: ProbeDone) -> None:
         h = self.host(e.host)
         h.probing = False
         if e.end in (ProbeEnd.UNREACHABLE, ProbeEnd.RESET):
-            h.bad += 2
-            if h.bad >= 4 and h.bad > DEAD * (h.good + h.bad):
-                self.failing(h)
+            h.run += 2
+            self.failing(h)
 
     def failing(self, h: Host) -> None:
+        """A run of failures, longer than the fleet's present share of answers makes likely by chance."""
+        if h.run < RUN * self.excess**2:
+            return
         if self.now - h.failed_at > CLEAR:
             self.out.append(Note(f"failing {h.id} good={h.good:.1f} bad={h.bad:.1f}"))
             self.urgent = True
