--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -31,6 +31,7 @@
 FULL = 0.8  # median strain of the fleet above which less is let in, where the site admits by share
 EASE = 0.5  # and below which more is
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
+PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
 WRAP = 65536  # marks are numbered below this
 
 # One row a way of repeating: how proxies may try again on our orders. What may have run goes again only if
@@ -106,6 +107,8 @@
         self.urgent = False
         self.levels_due = True
         self.level = self.excess = 1.0
+        self.done = self.peak = 0.0
+        self.done_at = -math.inf
         self.level_at = 0.0
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
@@ -204,6 +207,8 @@
             h.latency += (e.latency - h.latency) * (part if h.latency else 1.0)
             h.floor = h.floor or h.latency
             h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.02)
+        self.done = self.done * 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every)) + good
+        self.done_at = self.now
         h.run = 0 if good else h.run + e.errored
         self.failing(h)
 
@@ -285,14 +290,18 @@
         strains = sorted(h.strain(self.tight) for h in listed)
         self.median = strains[len(strains) // 2] if strains else 0.0
         self.strained = max(CROWDED, WORSE * self.median)
-        # Where much goes unanswered, a fair part is more than a server can do: cold ones get less.
+        # A cold server's part is counted against the most that the fleet was seen to answer: in an overload
+        # a fair part of what is asked would push it over.
+        span = PEAK_SPAN * self.set.report_every
+        done = self.done * 0.5 ** ((self.now - self.done_at) / span) * math.log(2.0) * 1000.0 / span
+        self.peak = max(self.peak, done / space if space else 0.0)
         good, bad = sum(h.good for h in listed), sum(h.bad for h in listed)
         self.excess = (good + bad) / max(good, 1.0) if good + bad > 1.0 else 1.0
         self.mean = total / space if space else 0.0
 
     def used(self, h: Host, more: float = 0.0) -> float:
-        part = (h.load + more) / (self.capacity(h) * self.mean) if self.mean else 0.0
-        return part * self.excess if self.cold(h) else part
+        fair = min(self.mean, self.peak) if self.cold(h) else self.mean
+        return (h.load + more) / (self.capacity(h) * fair) if fair else 0.0
 
     def best(self, s: Slice) -> Host | None:
         """The top scorer among servers with room; the least used warm one where none has any."""
