--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -22,7 +22,8 @@
 
 CLEAR = 6_000.0  # ms without word of failing after which a server may own again (design)
 HOLD = 5_000.0  # ms that the old owner stays listed at most while acks are out (design)
-TIPPING = 0.4  # of the stated fall multiple: load over its fair part at which a cold server sheds at once
+RAMP = 0.6  # of the stated cold time: how long a new server takes to get its full share (about 10 s)
+TIPPING = 0.5  # of the stated fall multiple: load over its fair part at which a cold server sheds at once
 SITTING = 8.0  # times the number of slices: what a sitting owner's score counts more than a stranger's
 ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
 CROWDED = 0.5  # strain (see `Host.strain`) above which a server is crowded
@@ -254,8 +255,8 @@
         return self.now - h.since < self.set.cold
 
     def warm(self, h: Host) -> float:
-        """What part of its capacity a server has at least, by the time since it started."""
-        age = min(1.0, (self.now - h.since) / (self.set.cold or 1.0))
+        """What part of its share a server may take, by the time since it started."""
+        age = min(1.0, (self.now - h.since) / (RAMP * self.set.cold or 1.0))
         return self.set.cold_from + (1.0 - self.set.cold_from) * age
 
     def score(self, s: Slice, h: Host) -> float:
