--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -27,6 +27,7 @@
 SITTING = 8.0  # times the number of slices: what a sitting owner's score counts more than a stranger's
 ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
 CROWDED = 0.5  # strain (see `Host.strain`) above which a server is crowded
+SHED = 1.5  # times its fair part: a server with more passes slices on before it is strained
 WORSE = 1.5  # and so many times the fleet's median: trouble that all share is not a server's
 RUN = 4.0  # tries in a row without an answer that make a server failing, when the fleet answers all
 FULL = 0.8  # median strain of the fleet above which less is let in, where the site admits by share
@@ -304,11 +305,13 @@
         fair = min(self.mean, self.peak) if self.cold(h) else self.mean
         return (h.load + more) / (self.capacity(h) * fair) if fair else 0.0
 
-    def best(self, s: Slice) -> Host | None:
+    def best(self, s: Slice, must: bool) -> Host | None:
         """The top scorer among servers with room; the least used warm one where none has any."""
         room = [h for h in self.pool if h is not s.owner and self.used(h, s.rate) <= ROOM]
         if room:
             return max(room, key=lambda h: self.score(s, h))
+        if not must:
+            return None
         rest = [h for h in self.pool if h is not s.owner]
         rest = [h for h in rest if not self.cold(h)] or rest
         return min(rest, key=lambda h: self.used(h, s.rate)) if rest else None
@@ -394,7 +397,7 @@
         for s in sorted(lost, key=lambda s: (-s.rate, s.id)):
             if s.owner and not s.owner.listed and not self.fresh:
                 continue  # the saved list may be older than this line
-            if to := self.best(s):
+            if to := self.best(s, must=True):
                 self.give(s, to, hold=False)
         for s in self.slices.values():
             for h in [h for h in s.lines if h is not s.owner and self.leaving(h)]:
@@ -428,8 +431,8 @@
         for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
             if s.owner is None or s.hold_mark >= 0:
                 continue
-            to = self.best(s)
-            crowded = (s.owner.strain(self.tight) > self.strained
+            to = self.best(s, must=False)
+            crowded = ((s.owner.strain(self.tight) > self.strained or self.used(s.owner) > SHED)
                        and self.now - s.owner.shed_at > self.set.report_every + 2 * self.set.transit)  # fmt: skip
             if to is None or (not crowded and self.score(s, to) <= self.score(s, s.owner)):
                 s.want = None
