--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -29,7 +29,8 @@
 CROWDED = 0.5  # strain (see `Host.strain`) above which a server is crowded
 SHED = 1.5  # times its fair part: a server with more passes slices on before it is strained
 WORSE = 1.5  # and so many times the fleet's median: trouble that all share is not a server's
-RUN = 4.0  # tries in a row without an answer that make a server failing, when the fleet answers all
+RUN = 4  # tries in a row without an answer that make a server suspect
+SILENT = 2.0  # report periods without any answer after which a suspect is failing
 FULL = 0.8  # median strain of the fleet above which less is let in, where the site admits by share
 EASE = 0.5  # and below which more is
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
@@ -58,6 +59,7 @@
     good: float = 0.0  # fading counts of tries answered and not
     bad: float = 0.0
     run: int = 0  # tries in a row without an answer
+    good_at: float = -math.inf  # when a good answer was last heard of
     heard: float = -math.inf
     latency: float = 0.0  # smoothed mean answer
     floor: float = 0.0  # the same when uncrowded: its speed
@@ -108,7 +110,7 @@
         self.started = False
         self.urgent = False
         self.levels_due = True
-        self.level = self.excess = 1.0
+        self.level = 1.0
         self.done = self.peak = 0.0
         self.done_at = -math.inf
         self.level_at = 0.0
@@ -212,19 +214,24 @@
         self.done = self.done * 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every)) + good
         self.done_at = self.now
         h.run = 0 if good else h.run + e.errored
-        self.failing(h)
+        h.good_at = self.now if good else h.good_at
+        # A run of failures is a crash, a hang or a crowd. A crash fails a probe, a hang gives no good answer
+        # for windows on end, a crowded server goes on answering some: it sheds, but is not emptied, or its
+        # slices would crowd the next one.
+        if h.run >= RUN:
+            if self.now - h.good_at > SILENT * self.set.report_every:
+                self.failing(h)
+            elif self.set.may_probe and not h.probing:
+                h.probing = True
+                self.out.append(Probe(h.id))
 
     def probed(self, e: ProbeDone) -> None:
         h = self.host(e.host)
         h.probing = False
-        if e.end in (ProbeEnd.UNREACHABLE, ProbeEnd.RESET):
-            h.run += 2
+        if e.end in (ProbeEnd.UNREACHABLE, ProbeEnd.RESET, ProbeEnd.TIMEOUT) and h.run >= RUN:
             self.failing(h)
 
     def failing(self, h: Host) -> None:
-        """A run of failures, longer than the fleet's present share of answers makes likely by chance."""
-        if h.run < RUN * self.excess**2:
-            return
         if self.now - h.failed_at > CLEAR:
             self.out.append(Note(f"failing {h.id} good={h.good:.1f} bad={h.bad:.1f}"))
             self.urgent = True
@@ -297,8 +304,6 @@
         span = PEAK_SPAN * self.set.report_every
         done = self.done * 0.5 ** ((self.now - self.done_at) / span) * math.log(2.0) * 1000.0 / span
         self.peak = max(self.peak, done / space if space else 0.0)
-        good, bad = sum(h.good for h in listed), sum(h.bad for h in listed)
-        self.excess = (good + bad) / max(good, 1.0) if good + bad > 1.0 else 1.0
         self.mean = total / space if space else 0.0
 
     def used(self, h: Host, more: float = 0.0) -> float:
