--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -34,6 +34,9 @@
 FULL = 0.8  # median strain of the fleet above which less is let in, where the site admits by share
 EASE = 0.5  # and below which more is
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
+PAUSE = 1.0  # report periods before a server that shed is judged again
+FEW = 3  # slices that a server is given in a turn off live owners
+CHILLED = 0.75  # of its share a cold server takes where keys are cached: all that it gets is cold there
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
 WRAP = 65536  # marks are numbered below this
 
@@ -275,7 +278,8 @@
         return h.entry.weight * h.marks[s.id] * mine
 
     def capacity(self, h: Host) -> float:
-        return h.entry.weight * self.warm(h) / (h.floor or self.typical)
+        part = self.warm(h) * (CHILLED if self.set.warm_keys and self.cold(h) else 1.0)
+        return h.entry.weight * part / (h.floor or self.typical)
 
     def survey(self) -> None:
         """Fair load for each server, from the slices' demand and the servers' speeds."""
@@ -432,24 +436,34 @@
                         self.line(s, h, 0.0)
 
     def move(self) -> None:
-        """Moves off live owners: won by a better score, or off a crowded server; gated and paced."""
-        for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
-            if s.owner is None or s.hold_mark >= 0:
-                continue
-            to = self.best(s, must=False)
-            crowded = ((s.owner.strain(self.tight) > self.strained or self.used(s.owner) > SHED)
-                       and self.now - s.owner.shed_at > self.set.report_every + 2 * self.set.transit)  # fmt: skip
-            if to is None or (not crowded and self.score(s, to) <= self.score(s, s.owner)):
-                s.want = None
+        """Moves off live owners: off crowded ones, or won by a better score; gated and paced."""
+        for h in [h for h in self.pool if self.now - h.shed_at > PAUSE * self.set.report_every + 2 * self.set.transit]:
+            strain, used = h.strain(self.tight), self.used(h)
+            keep = min(self.strained / max(strain, 0.01), 1.0)
+            if used > SHED and strain > CROWDED / 2:
+                keep = min(keep, 1.0 / used)
+            if keep == 1.0:
                 continue
-            if crowded and to.strain(self.tight) * WORSE > s.owner.strain(self.tight):
-                continue
-            if s.want is not to:
-                s.want, s.want_at = to, self.now
-                if self.set.may_probe and not to.probing and self.now - to.heard > self.set.report_every:
-                    to.probing = True
-                    self.out.insert(0, Probe(to.id))
-            elif self.now - s.want_at >= self.set.report_every and not to.taken:
-                if crowded:
-                    s.owner.shed_at = self.now
-                self.give(s, to, hold=True)
+            goal = h.load * keep
+            mine = [s for s in self.slices.values() if s.owner is h and s.hold_mark < 0]
+            for s in sorted(mine, key=lambda s: (-s.rate, s.id)):
+                if h.load - s.rate * 0.5 <= goal:
+                    continue
+                to = self.best(s, must=False)
+                if to and to.strain(self.tight) * WORSE < strain and self.passes(s, to):
+                    h.shed_at = self.now
+                    self.give(s, to, hold=True)
+        for s in self.slices.values():
+            if s.owner and s.hold_mark < 0 and (to := self.best(s, must=False)):
+                if self.score(s, to) > self.score(s, s.owner) and self.passes(s, to):
+                    self.give(s, to, hold=True)
+
+    def passes(self, s: Slice, to: Host) -> bool:
+        """The gate: the destination answered without a run of failures for a report window, or one has passed."""
+        if s.want is not to:
+            s.want, s.want_at = to, self.now
+            if self.set.may_probe and not to.probing and self.now - to.heard > self.set.report_every:
+                to.probing = True
+                self.out.insert(0, Probe(to.id))
+        known = to.run == 0 and self.now - to.good_at <= 2 * self.set.report_every
+        return to.run < RUN and to.taken < FEW and (known or self.now - s.want_at >= self.set.report_every)
