--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -37,6 +37,7 @@
 PAUSE = 1.0  # report periods before a server that shed is judged again
 FEW = 3  # slices that a server is given in a turn off live owners
 CHILLED = 0.75  # of its share a cold server takes where keys are cached: all that it gets is cold there
+EMPTY = 0.05  # floor of the weight that free room gives a destination
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
 WRAP = 65536  # marks are numbered below this
 
@@ -318,7 +319,7 @@
         """The top scorer among servers with room; the least used warm one where none has any."""
         room = [h for h in self.pool if h is not s.owner and self.used(h, s.rate) <= ROOM]
         if room:
-            return max(room, key=lambda h: self.score(s, h))
+            return max(room, key=lambda h: self.score(s, h) * (EMPTY + ROOM - self.used(h, s.rate)))
         if not must:
             return None
         rest = [h for h in self.pool if h is not s.owner]
