--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -213,8 +213,11 @@
         if good > 0 and e.latency > 0:
             part = good / (good + 6.0)
             h.latency += (e.latency - h.latency) * (part if h.latency else 1.0)
-            h.floor = h.floor or h.latency
-            h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.02)
+            # Speed shows only while answers don't wait: a crowd says nothing of it (nor after a restart).
+            calm = h.strain(self.tight) < CROWDED / 2
+            if h.floor or calm:
+                h.floor = h.floor or h.latency
+                h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.05 if calm else 0.0)
         self.done = self.done * 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every)) + good
         self.done_at = self.now
         h.run = 0 if good else h.run + e.errored
@@ -280,12 +283,16 @@
 
     def capacity(self, h: Host) -> float:
         part = self.warm(h) * (CHILLED if self.set.warm_keys and self.cold(h) else 1.0)
-        return h.entry.weight * part / (h.floor or self.typical)
+        return h.entry.weight * part / (h.floor or self.typical.get(h.entry.kind) or self.usual)
 
     def survey(self) -> None:
         """Fair load for each server, from the slices' demand and the servers' speeds."""
-        floors = sorted(h.floor for h in self.hosts.values() if h.floor and h.listed)
-        self.typical = floors[len(floors) // 2] if floors else 1.0
+        floors = sorted((h.floor, h.entry.kind) for h in self.hosts.values() if h.floor and h.listed)
+        self.usual = floors[len(floors) // 2][0] if floors else 1.0
+        self.typical: dict[int, float] = {}
+        for kind in sorted({k for _, k in floors}):
+            like = [f for f, k in floors if k == kind]
+            self.typical[kind] = like[len(like) // 2]
         known = [s.rate for s in self.slices.values() if s.rates]
         usual = sum(known) / len(known) if known else 1.0
         for h in self.hosts.values():
