--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -115,6 +115,8 @@
         self.urgent = False
         self.levels_due = True
         self.level = 1.0
+        self.usual = 0.0  # speed (as `Host.floor`) of the median server, and of each kind's
+        self.typical: dict[int, float] = {}
         self.done = self.peak = 0.0
         self.done_at = -math.inf
         self.level_at = 0.0
@@ -215,9 +217,9 @@
             h.latency += (e.latency - h.latency) * (part if h.latency else 1.0)
             # Speed shows only while answers don't wait: a crowd says nothing of it (nor after a restart).
             calm = h.strain(self.tight) < CROWDED / 2
-            if h.floor or calm:
-                h.floor = h.floor or h.latency
-                h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.05 if calm else 0.0)
+            prior = self.typical.get(h.entry.kind) or self.usual or h.latency
+            h.floor = h.floor or (h.latency if calm else min(h.latency, prior))
+            h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.05 if calm else 0.02)
         self.done = self.done * 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every)) + good
         self.done_at = self.now
         h.run = 0 if good else h.run + e.errored
@@ -283,13 +285,13 @@
 
     def capacity(self, h: Host) -> float:
         part = self.warm(h) * (CHILLED if self.set.warm_keys and self.cold(h) else 1.0)
-        return h.entry.weight * part / (h.floor or self.typical.get(h.entry.kind) or self.usual)
+        return h.entry.weight * part / (h.floor or self.typical.get(h.entry.kind) or self.usual or 1.0)
 
     def survey(self) -> None:
         """Fair load for each server, from the slices' demand and the servers' speeds."""
         floors = sorted((h.floor, h.entry.kind) for h in self.hosts.values() if h.floor and h.listed)
-        self.usual = floors[len(floors) // 2][0] if floors else 1.0
-        self.typical: dict[int, float] = {}
+        self.usual = floors[len(floors) // 2][0] if floors else 0.0
+        self.typical = {}
         for kind in sorted({k for _, k in floors}):
             like = [f for f, k in floors if k == kind]
             self.typical[kind] = like[len(like) // 2]
