--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -115,6 +115,7 @@
         self.urgent = False
         self.levels_due = True
         self.level = 1.0
+        self.median = 0.0  # strain of the median server
         self.usual = 0.0  # speed (as `Host.floor`) of the median server, and of each kind's
         self.typical: dict[int, float] = {}
         self.done = self.peak = 0.0
@@ -217,9 +218,10 @@
             h.latency += (e.latency - h.latency) * (part if h.latency else 1.0)
             # Speed shows only while answers don't wait: a crowd says nothing of it (nor after a restart).
             calm = h.strain(self.tight) < CROWDED / 2
+            alone = 0.02 if self.median < CROWDED / 2 else 0.0  # the fleet is calm: it is this server that is slow
             prior = self.typical.get(h.entry.kind) or self.usual or h.latency
             h.floor = h.floor or (h.latency if calm else min(h.latency, prior))
-            h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.05 if calm else 0.02)
+            h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.05 if calm else alone)
         self.done = self.done * 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every)) + good
         self.done_at = self.now
         h.run = 0 if good else h.run + e.errored
