--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -14,11 +14,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from .interface import (
-    ALL_TABLES, Acked, Action, Due, Event, FetchList, Follow, HostEntry, HostSums, Level, ListForm, Mark,
-    Membership, Note, OnRecord, Probe, ProbeDone, ProbeEnd, ProxyJoined, ProxyLeft, Remind, Repeat, Retry, SetLine,
-    Settings, SliceGiven, SliceSums,
-)  # fmt: skip
+from . import interface as api
 
 CLEAR = 6_000.0  # ms without word of failing after which a server may own again (design)
 HOLD = 5_000.0  # ms that the old owner stays listed at most while acks are out (design)
@@ -44,9 +40,9 @@
 # One row a way of repeating: how proxies may try again on our orders. What may have run goes again only if
 # it is idempotent: fingerprinted work could land outside the group that drops repeats.
 TRY_AGAIN = {
-    Repeat.IDEMPOTENT: Retry.ONCE,
-    Repeat.FINGERPRINTED: Retry.PROVEN_UNRUN,
-    Repeat.SIDE_EFFECTING: Retry.PROVEN_UNRUN,
+    api.Repeat.IDEMPOTENT: api.Retry.ONCE,
+    api.Repeat.FINGERPRINTED: api.Retry.PROVEN_UNRUN,
+    api.Repeat.SIDE_EFFECTING: api.Retry.PROVEN_UNRUN,
 }
 
 
@@ -55,7 +51,7 @@
     """All that is known of one server."""
 
     id: int
-    entry: HostEntry
+    entry: api.HostEntry
     listed: bool = True
     since: float = -math.inf  # start of the present process, as far as known
     told: float = -math.inf  # when this start was heard of
@@ -102,12 +98,12 @@
 
 
 class Assigner:
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int) -> None:
         self.set, self.seed, self.draws = settings, seed, 0
         self.hosts: dict[int, Host] = {}
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, Proxy] = {}
-        self.out: list[Action] = []
+        self.out: list[api.Action] = []
         self.now = 0.0
         self.mark = 0
         self.fresh = False  # a list newer than the saved one has come
@@ -128,43 +124,43 @@
 
     # ---- the door ------------------------------------------------------------------------------------
 
-    def step(self, now: float, events: Sequence[Event]) -> list[Action]:
+    def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         self.now, self.out = now, []
         turn = False
         if not self.started:
             self.started = turn = True
-            self.out.append(Remind(self.turn, 0))
+            self.out.append(api.Remind(self.turn, 0))
             if self.set.list_on_request:
-                self.out.append(Follow(True))
+                self.out.append(api.Follow(True))
         for e in events:
             match e:
-                case HostSums():
+                case api.HostSums():
                     self.heard(e)
-                case SliceSums():
+                case api.SliceSums():
                     self.demand(e)
-                case Membership():
+                case api.Membership():
                     self.listed(e)
-                case Acked():
+                case api.Acked():
                     self.acked(e)
-                case ProbeDone():
+                case api.ProbeDone():
                     self.probed(e)
-                case SliceGiven():
+                case api.SliceGiven():
                     self.slices.pop(e.slice, None)
                     if e.on:
                         self.slices[e.slice] = Slice(e.slice)
                         self.urgent = self.levels_due = True
-                case OnRecord():
+                case api.OnRecord():
                     if e.slice in self.slices:
                         self.slices[e.slice].lines[self.host(e.host)] = e.weight
-                case ProxyJoined():
+                case api.ProxyJoined():
                     self.proxies[e.proxy] = Proxy(e.proxy, e.zone, e.rate)
-                case ProxyLeft():
+                case api.ProxyLeft():
                     self.proxies.pop(e.proxy, None)
-                case Due(handle=0):
+                case api.Due(handle=0):
                     turn = True
-                    self.out.append(Remind(self.turn, 0))
-                case Due(handle=1):
-                    self.out.append(Follow(True))
+                    self.out.append(api.Remind(self.turn, 0))
+                case api.Due(handle=1):
+                    self.out.append(api.Follow(True))
                 case _:
                     pass
         if turn or self.urgent:
@@ -177,18 +173,18 @@
 
     def host(self, id: int) -> Host:
         if id not in self.hosts:
-            self.hosts[id] = Host(id, HostEntry(id), listed=False)
+            self.hosts[id] = Host(id, api.HostEntry(id), listed=False)
         return self.hosts[id]
 
     # ---- what is heard -------------------------------------------------------------------------------
 
-    def listed(self, e: Membership) -> None:
-        if e.form is ListForm.FAILED:
+    def listed(self, e: api.Membership) -> None:
+        if e.form is api.ListForm.FAILED:
             # Ask again soon, spread by chance: the ask rule counts silence as knowledge.
-            self.out.append(Remind(self.set.ask_within * (0.05 + 0.1 * self.chance()), 1))
+            self.out.append(api.Remind(self.set.ask_within * (0.05 + 0.1 * self.chance()), 1))
             return
-        self.fresh = self.fresh or e.form is not ListForm.SAVED
-        if e.form is not ListForm.CHANGES:
+        self.fresh = self.fresh or e.form is not api.ListForm.SAVED
+        if e.form is not api.ListForm.CHANGES:
             here = {entry.host for entry in e.entries}
             for h in self.hosts.values():
                 if h.id not in here and h.listed:
@@ -206,7 +202,7 @@
             if was and entry.state != "up":
                 self.urgent = True
 
-    def heard(self, e: HostSums) -> None:
+    def heard(self, e: api.HostSums) -> None:
         h = self.host(e.host)
         if self.now - h.told < self.set.report_every + self.set.transit:
             return  # sums from before a restart
@@ -218,10 +214,11 @@
             h.latency += (e.latency - h.latency) * (part if h.latency else 1.0)
             # Speed shows only while answers don't wait: a crowd says nothing of it (nor after a restart).
             calm = h.strain(self.tight) < CROWDED / 2
-            alone = 0.02 if self.median < CROWDED / 2 else 0.0  # the fleet is calm: it is this server that is slow
+            alone = 0.02 if self.median < CROWDED / 2 else 0.0  # the fleet is calm: this server is slow
             prior = self.typical.get(h.entry.kind) or self.usual or h.latency
             h.floor = h.floor or (h.latency if calm else min(h.latency, prior))
-            h.floor += (h.latency - h.floor) * (0.3 if h.latency < h.floor else 0.05 if calm else alone)
+            pace = 0.3 if h.latency < h.floor else 0.05 if calm else alone
+            h.floor += (h.latency - h.floor) * pace
         self.done = self.done * 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every)) + good
         self.done_at = self.now
         h.run = 0 if good else h.run + e.errored
@@ -234,21 +231,21 @@
                 self.failing(h)
             elif self.set.may_probe and not h.probing:
                 h.probing = True
-                self.out.append(Probe(h.id))
+                self.out.append(api.Probe(h.id))
 
-    def probed(self, e: ProbeDone) -> None:
+    def probed(self, e: api.ProbeDone) -> None:
         h = self.host(e.host)
         h.probing = False
-        if e.end in (ProbeEnd.UNREACHABLE, ProbeEnd.RESET, ProbeEnd.TIMEOUT) and h.run >= RUN:
+        if e.end in (api.ProbeEnd.UNREACHABLE, api.ProbeEnd.RESET, api.ProbeEnd.TIMEOUT) and h.run >= RUN:
             self.failing(h)
 
     def failing(self, h: Host) -> None:
         if self.now - h.failed_at > CLEAR:
-            self.out.append(Note(f"failing {h.id} good={h.good:.1f} bad={h.bad:.1f}"))
+            self.out.append(api.Note(f"failing {h.id} good={h.good:.1f} bad={h.bad:.1f}"))
             self.urgent = True
         h.failed_at = self.now
 
-    def demand(self, e: SliceSums) -> None:
+    def demand(self, e: api.SliceSums) -> None:
         if (s := self.slices.get(e.slice)) and e.span > 0:
             rate = e.invocations * 1000.0 / e.span
             old = s.rates.get(e.operation)
@@ -256,7 +253,7 @@
             s.rates[e.operation] = (old or 0.0) + (rate - (old or 0.0)) * part
             s.rate = sum(s.rates.values())
 
-    def acked(self, e: Acked) -> None:
+    def acked(self, e: api.Acked) -> None:
         if p := self.proxies.get(e.proxy):
             while p.unacked and (e.number - p.unacked[0][0]) % WRAP < WRAP // 2:
                 p.unacked.popleft()
@@ -328,7 +325,8 @@
 
     def best(self, s: Slice, must: bool) -> Host | None:
         """The top scorer among servers with room; the least used warm one where none has any."""
-        room = [h for h in self.pool if h is not s.owner and self.used(h, s.rate) <= ROOM]
+        room = [h for h in self.pool if h is not s.owner and self.used(h, s.rate) <= ROOM
+                and h.strain(self.tight) <= self.strained]  # fmt: skip
         if room:
             return max(room, key=lambda h: self.score(s, h) * (EMPTY + ROOM - self.used(h, s.rate)))
         if not must:
@@ -352,7 +350,7 @@
 
     def line(self, s: Slice, h: Host, weight: float) -> None:
         if s.lines.get(h, 0.0) != weight:
-            self.out.append(SetLine(s.id, h.id, weight))
+            self.out.append(api.SetLine(s.id, h.id, weight))
             if weight:
                 s.lines[h] = weight
             else:
@@ -391,15 +389,15 @@
             self.release()
             self.move()
             self.admit()
-        orders = len(self.out) - before
+        orders = sum(isinstance(a, api.SetLine) for a in self.out[before:])
         if self.levels_due and self.slices and self.proxies:
             self.levels_due = False
             for k, o in enumerate(self.set.operations):
-                self.out.append(Level(ALL_TABLES, 1 << k, self.level, TRY_AGAIN[o.repeat]))
+                self.out.append(api.Level(api.ALL_TABLES, 1 << k, self.level, TRY_AGAIN[o.repeat]))
                 orders += 1
         if orders:
             self.mark = (self.mark + 1) % WRAP
-            self.out.append(Mark(self.mark))
+            self.out.append(api.Mark(self.mark))
             for p in self.proxies.values():
                 p.sent.append(self.now)
                 p.unacked.append((self.mark, self.set.message_head + orders + 1 + len(self.set.operations)))
@@ -408,10 +406,10 @@
         """Slices without an owner, or whose owner is dead or draining, go at once, the busiest first."""
         lost = [s for s in self.slices.values() if s.owner is None or s.owner not in self.pool]
         # A cold server that holds too much (it died with its slices and came back, or they grew) tips over.
-        most = TIPPING * self.set.fall_multiple
+        most = TIPPING * self.set.fall_multiple if any(not self.cold(h) for h in self.pool) else math.inf
         for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
             h = s.owner
-            if h and h in self.pool and self.cold(h) and self.used(h) > most and any(not self.cold(x) for x in self.pool):
+            if h and h in self.pool and self.cold(h) and self.used(h) > most:
                 h.load -= s.rate
                 lost.append(s)
                 s.owner = None
@@ -426,7 +424,8 @@
 
     def admit(self) -> None:
         """Let in less while the whole fleet is strained: what waits too long is worth nothing."""
-        if self.set.admission != "fraction" or self.now - self.level_at < self.set.report_every + 2 * self.set.transit:
+        wait = self.set.report_every + 2 * self.set.transit
+        if self.set.admission != "fraction" or self.now - self.level_at < wait:
             return
         level = self.level
         if self.median > FULL:
@@ -449,7 +448,8 @@
 
     def move(self) -> None:
         """Moves off live owners: off crowded ones, or won by a better score; gated and paced."""
-        for h in [h for h in self.pool if self.now - h.shed_at > PAUSE * self.set.report_every + 2 * self.set.transit]:
+        wait = PAUSE * self.set.report_every + 2 * self.set.transit
+        for h in [h for h in self.pool if self.now - h.shed_at > wait]:
             strain, used = h.strain(self.tight), self.used(h)
             keep = min(self.strained / max(strain, 0.01), 1.0)
             if used > SHED and strain > CROWDED / 2:
@@ -471,11 +471,11 @@
                     self.give(s, to, hold=True)
 
     def passes(self, s: Slice, to: Host) -> bool:
-        """The gate: the destination answered without a run of failures for a report window, or one has passed."""
+        """The gate: the destination was heard sound, or a report window has passed without a run of failures."""
         if s.want is not to:
             s.want, s.want_at = to, self.now
             if self.set.may_probe and not to.probing and self.now - to.heard > self.set.report_every:
                 to.probing = True
-                self.out.insert(0, Probe(to.id))
+                self.out.append(api.Probe(to.id))
         known = to.run == 0 and self.now - to.good_at <= 2 * self.set.report_every
         return to.run < RUN and to.taken < FEW and (known or self.now - s.want_at >= self.set.report_every)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -38,7 +38,9 @@
                 shown = ", ".join(f"{k}={getattr(v, 'name', v)}" for k, v in vars(a).items())
                 self.lines.append(f"{self.now / 1000 - 100:8.3f} s  {type(a).__name__}({shown})")
 
-    def start(self, hosts: list[api.HostEntry], owners: dict[int, int] | None = None, proxies: int = 2) -> None:
+    def start(
+        self, hosts: list[api.HostEntry], owners: dict[int, int] | None = None, proxies: int = 2
+    ) -> None:
         events: list[api.Event] = [api.Membership(api.ListForm.SAVED, 1, tuple(hosts))]
         for s in range(8):
             events.append(api.SliceGiven(s, True))
@@ -46,7 +48,9 @@
                 events.append(api.OnRecord(s, owners[s], 1.0))
         self.step(*events, *(api.ProxyJoined(p, p % 2, 10.0, True) for p in range(proxies)))
 
-    def run(self, seconds: float, each: Callable[[], list[api.Event]] | None = None, ack: bool = True) -> None:
+    def run(
+        self, seconds: float, each: Callable[[], list[api.Event]] | None = None, ack: bool = True
+    ) -> None:
         """Timers fall due; proxies ack 200 ms after an order; `each` speaks once a second."""
         end, beat = self.now + seconds * 1000, self.now + 1000
         while True:
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,156 @@
+"""Short scenes; each prints its decisions and compares them with the kept trace of the same name."""
+
+from __future__ import annotations
+
+from helper import Rig, up
+
+from corallanding import interface as api
+
+HOSTS = [up(h) for h in (11, 12, 13, 14)]
+EVEN = {s: 11 + s % 4 for s in range(8)}
+
+
+def sums(good: dict[int, int], bad: dict[int, int] | None = None, latency: float = 200.0) -> list[api.Event]:
+    """One second's sums: good and unanswered tries by host, and an even demand for the slices."""
+    bad = bad or {}
+    out: list[api.Event] = [
+        api.HostSums(h % 2, h, good.get(h, 0) + bad.get(h, 0), bad.get(h, 0), latency, 1000.0)
+        for h in sorted({*good, *bad})
+    ]
+    return out + [api.SliceSums(s, 0, 10, 0, 1000.0) for s in range(8)]
+
+
+def all_well() -> list[api.Event]:
+    return sums(dict.fromkeys((11, 12, 13, 14), 20))
+
+
+def listed(rig: Rig, *entries: api.HostEntry, form: api.ListForm = api.ListForm.CHANGES) -> None:
+    rig.step(api.Membership(form, 2, entries))
+
+
+def test_first_placement() -> None:
+    rig = Rig()
+    rig.say("no slice has a line: each goes to its top scorer at once")
+    rig.start(HOSTS)
+    rig.run(2, all_well)
+    rig.check("first_placement")
+
+
+def test_restart_from_store() -> None:
+    rig = Rig()
+    rig.say("owners on record are kept; slice 1 was left with two lines by a move, the lighter one goes")
+    rig.start(HOSTS, EVEN)
+    rig.run(1, all_well)
+    rig.say("given anew with two lines")
+    rig.step(api.SliceGiven(1, False))
+    rig.step(api.SliceGiven(1, True), api.OnRecord(1, 11, 1.0), api.OnRecord(1, 12, 0.5))
+    rig.run(3, all_well)
+    rig.check("restart_from_store")
+
+
+def test_drain() -> None:
+    rig = Rig()
+    rig.start(HOSTS, EVEN)
+    rig.run(3, all_well)
+    rig.say("12 drains: its slices leave in the same step, the new line before the old one goes")
+    listed(rig, up(12, "draining"))
+    rig.run(1, all_well)
+    rig.check("drain")
+
+
+def test_death() -> None:
+    rig = Rig()
+    rig.start(HOSTS, EVEN)
+    rig.run(3, all_well)
+    rig.say("13 answers nothing more and fails its probe: a crash")
+    rig.step(*sums({11: 20, 12: 20, 14: 20}, {13: 20}))
+    rig.step(api.ProbeDone(13, api.ProbeEnd.UNREACHABLE))
+    rig.say("14 answers nothing, its probes do: a hang, once it is silent for two windows")
+    rig.run(5, lambda: sums({11: 20, 12: 20}, {14: 20}))
+    rig.check("death")
+
+
+def test_crowded_is_not_dead() -> None:
+    rig = Rig()
+    rig.start(HOSTS, {**EVEN, 1: 11, 2: 11})
+    rig.run(3, all_well)
+    rig.say("11 turns most away but answers some: it sheds down to its part and keeps the rest")
+    rig.run(4, lambda: sums({11: 3, 12: 20, 13: 20, 14: 20}, {11: 30}))
+    rig.check("crowded")
+
+
+def test_trouble_everywhere() -> None:
+    rig = Rig()
+    rig.start(HOSTS, EVEN)
+    rig.run(3, all_well)
+    rig.say("nothing is answered anywhere: the path, not the servers; nobody is emptied")
+    rig.run(6, lambda: sums({}, dict.fromkeys((11, 12, 13, 14), 20)))
+    rig.check("trouble_everywhere")
+
+
+def test_move_with_gate_hold_and_ack() -> None:
+    rig = Rig()
+    rig.start(HOSTS[:3], {s: 11 + s % 3 for s in range(8)})
+    rig.run(3, lambda: sums(dict.fromkeys((11, 12, 13), 20)))
+    rig.say("14 comes, warm; 11 is crowded: unheard 14 is probed, passes in a window; old lines go on acks")
+    listed(rig, up(14))
+    rig.run(5, lambda: sums({11: 20, 12: 20, 13: 20}, {11: 60}))
+    rig.say("no acks now: the old owner of the next move is held for 5 s")
+    rig.run(9, lambda: sums({11: 20, 12: 20, 13: 20, 14: 20}, {12: 60}), ack=False)
+    rig.check("move")
+
+
+def test_ramp_of_a_returning_server() -> None:
+    rig = Rig()
+    rig.start(HOSTS, EVEN)
+    rig.run(3, all_well)
+    rig.say("12 dies with its slices and is listed with a fresh start: it keeps what a cold one can take")
+    rig.step(*[api.SliceSums(s, 0, 30, 0, 1000.0) for s in (1, 5)])
+    listed(rig, up(12, since=rig.now - 500))
+    rig.say("13 drains: its slices go to warm ones while 12 has no room")
+    listed(rig, up(13, "draining"))
+    rig.run(1, all_well)
+    rig.check("returning")
+
+
+def test_full_channel() -> None:
+    rig = Rig(messages_most=4)
+    rig.start(HOSTS, EVEN)
+    rig.run(3, all_well)
+    rig.say("three drains, one by one; no proxy gets more than 3 of 4 messages in 10 s, the rest waits")
+    for host in (12, 13, 14):
+        listed(rig, up(host, "draining"))
+        listed(rig, up(host))
+        listed(rig, up(host, "draining"))
+    rig.run(12)
+    rig.check("full_channel")
+
+
+def test_late_proxy() -> None:
+    rig = Rig()
+    rig.start(HOSTS, EVEN, proxies=0)
+    rig.say("a proxy joins late: it reads the store by itself; the ways of trying again reach it")
+    rig.step(api.ProxyJoined(5, 0, 3.0, True))
+    rig.run(2, all_well)
+    rig.check("late_proxy")
+
+
+def test_asked_list() -> None:
+    rig = Rig(list_on_request=True, ask_within=10_000.0)
+    rig.start(HOSTS, EVEN)
+    rig.say("a call failed: it is asked again well within the ask rule's time")
+    listed(rig, form=api.ListForm.FAILED)
+    rig.run(3, all_well)
+    rig.say("a full list without 11: its slices leave")
+    listed(rig, *HOSTS[1:], form=api.ListForm.FULL)
+    rig.check("asked_list")
+
+
+def test_let_in_less() -> None:
+    rig = Rig(admission="fraction")
+    rig.start(HOSTS, EVEN)
+    rig.run(3, all_well)
+    rig.say("the whole fleet is strained: less is let in, step by step, and more again after")
+    rig.run(4, lambda: sums(dict.fromkeys((11, 12, 13, 14), 10), dict.fromkeys((11, 12, 13, 14), 30)))
+    rig.run(6, all_well)
+    rig.check("let_in_less")
