--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -219,7 +219,8 @@
             h.floor = h.floor or (h.latency if calm else min(h.latency, prior))
             pace = 0.3 if h.latency < h.floor else 0.05 if calm else alone
             h.floor += (h.latency - h.floor) * pace
-        self.done = self.done * 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every)) + good
+        fade = 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every))
+        self.done = self.done * fade + good
         self.done_at = self.now
         h.run = 0 if good else h.run + e.errored
         h.good_at = self.now if good else h.good_at
@@ -471,7 +472,7 @@
                     self.give(s, to, hold=True)
 
     def passes(self, s: Slice, to: Host) -> bool:
-        """The gate: the destination was heard sound, or a report window has passed without a run of failures."""
+        """The gate: the destination was heard sound, or a window has passed without a run of failures."""
         if s.want is not to:
             s.want, s.want_at = to, self.now
             if self.set.may_probe and not to.probing and self.now - to.heard > self.set.report_every:
--- a/corallanding/interface.py
+++ b/corallanding/interface.py
@@ -8,7 +8,6 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
-from typing import Union
 
 
 class Repeat(Enum):
@@ -211,10 +210,10 @@
     handle: int
 
 
-Event = Union[
-    Membership, ProbeDone, HostSums, SliceSums, ProxySums, SliceGiven, OnRecord, ProxyJoined, ProxyLeft,
-    Acked, PeerMessage, Due,
-]  # fmt: skip
+Event = (
+    Membership | ProbeDone | HostSums | SliceSums | ProxySums | SliceGiven | OnRecord | ProxyJoined | ProxyLeft
+    | Acked | PeerMessage | Due
+)  # fmt: skip
 
 
 # ---- what is to be done ------------------------------------------------------------------------------
@@ -294,6 +293,7 @@
     text: str
 
 
-Action = Union[
-    SetLine, Level, Cordon, ResetTable, Point, Mark, Remind, Probe, Follow, FetchList, Tell, Note,
-]  # fmt: skip
+Action = (
+    SetLine | Level | Cordon | ResetTable | Point
+    | Mark | Remind | Probe | Follow | FetchList | Tell | Note
+)  # fmt: skip
