--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -34,6 +34,7 @@
 FEW = 3  # slices that a server is given in a turn off live owners
 CHILLED = 0.75  # of its share a cold server takes where keys are cached: all that it gets is cold there
 EMPTY = 0.05  # floor of the weight that free room gives a destination
+HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
 WRAP = 65536  # marks are numbered below this
 
@@ -80,6 +81,7 @@
     id: int
     lines: dict[Host, float] = field(default_factory=dict)
     owner: Host | None = None
+    helpers: list[Host] = field(default_factory=list)  # further servers while it is in demand
     rate: float = 0.0
     want: Host | None = None  # destination whose soundness is awaited
     want_at: float = 0.0
@@ -87,6 +89,11 @@
     hold_end: float = 0.0
     rates: dict[int, float] = field(default_factory=dict)
 
+    @property
+    def part(self) -> float:
+        """What each of its servers gets."""
+        return self.rate / (1 + len(self.helpers))
+
 
 @dataclass(eq=False)
 class Proxy:
@@ -303,8 +310,8 @@
         for s in self.slices.values():
             s.rate = s.rate if s.rates else usual
             total += s.rate
-            if s.owner:
-                s.owner.load += s.rate
+            for h in ([s.owner] if s.owner else []) + s.helpers:
+                h.load += s.part
         self.pool = [h for h in self.hosts.values() if self.sound(h)]
         listed = [h for h in self.hosts.values() if h.listed and h.entry.state == "up"]
         if len(self.pool) * 2 < len(listed):  # most failing at once: the path or the work, not the servers
@@ -324,17 +331,17 @@
         fair = min(self.mean, self.peak) if self.cold(h) else self.mean
         return (h.load + more) / (self.capacity(h) * fair) if fair else 0.0
 
-    def best(self, s: Slice, must: bool) -> Host | None:
+    def best(self, s: Slice, more: float, must: bool) -> Host | None:
         """The top scorer among servers with room; the least used warm one where none has any."""
-        room = [h for h in self.pool if h is not s.owner and self.used(h, s.rate) <= ROOM
-                and h.strain(self.tight) <= self.strained]  # fmt: skip
+        taken = [s.owner, *s.helpers]
+        room = [h for h in self.pool if h not in taken and self.used(h, more) <= ROOM and h.strain(self.tight) <= self.strained]
         if room:
-            return max(room, key=lambda h: self.score(s, h) * (EMPTY + ROOM - self.used(h, s.rate)))
+            return max(room, key=lambda h: self.score(s, h) * (EMPTY + ROOM - self.used(h, more)))
         if not must:
             return None
-        rest = [h for h in self.pool if h is not s.owner]
+        rest = [h for h in self.pool if h not in taken]
         rest = [h for h in rest if not self.cold(h)] or rest
-        return min(rest, key=lambda h: self.used(h, s.rate)) if rest else None
+        return min(rest, key=lambda h: self.used(h, more)) if rest else None
 
     # ---- orders --------------------------------------------------------------------------------------
 
@@ -362,11 +369,11 @@
         old, s.owner, s.want = s.owner, h, None
         self.line(s, h, 1.0)
         for other in [x for x in s.lines if x is not h]:
-            if not (hold and other is old):
+            if not (hold and other is old) and other not in s.helpers:
                 self.line(s, other, 0.0)
         if old:
-            old.load -= s.rate
-        h.load += s.rate
+            old.load -= s.part
+        h.load += s.part
         h.taken += 1
         if hold:
             s.hold_mark, s.hold_end = (self.mark + 1) % WRAP, self.now + HOLD
@@ -381,9 +388,9 @@
         for s in self.slices.values():
             if s.owner is None and s.lines:
                 s.owner = max(s.lines, key=lambda h: (s.lines[h], self.score(s, h)))
-                s.owner.load += s.rate
-                if len(s.lines) > 1:
-                    s.hold_mark, s.hold_end = self.mark, self.now + HOLD
+                s.helpers = [h for h in s.lines if h is not s.owner]  # or an old owner: dropped if not needed
+                for h in s.lines:
+                    h.load += s.part
         self.urgent = False
         self.leave()
         if turn and self.may_send(False):
@@ -411,17 +418,26 @@
         for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
             h = s.owner
             if h and h in self.pool and self.cold(h) and self.used(h) > most:
-                h.load -= s.rate
+                h.load -= s.part
                 lost.append(s)
                 s.owner = None
         for s in sorted(lost, key=lambda s: (-s.rate, s.id)):
             if s.owner and not s.owner.listed and not self.fresh:
                 continue  # the saved list may be older than this line
-            if to := self.best(s, must=True):
+            sound = [h for h in s.helpers if h in self.pool]
+            if to := max(sound, key=lambda h: self.score(s, h)) if sound else self.best(s, s.part, must=True):
+                if to in s.helpers:
+                    s.helpers.remove(to)
                 self.give(s, to, hold=False)
         for s in self.slices.values():
-            for h in [h for h in s.lines if h is not s.owner and self.leaving(h)]:
-                self.line(s, h, 0.0)
+            for h in [h for h in s.lines if h is not s.owner and h not in self.pool]:
+                if self.leaving(h) or h in s.helpers:
+                    self.drop(s, h)
+
+    def drop(self, s: Slice, h: Host) -> None:
+        self.line(s, h, 0.0)
+        if h in s.helpers:
+            s.helpers.remove(h)
 
     def admit(self) -> None:
         """Let in less while the whole fleet is strained: what waits too long is worth nothing."""
@@ -444,7 +460,7 @@
                           for p in self.proxies.values() for m, _ in p.unacked)  # fmt: skip
                 if not out or self.now >= s.hold_end:
                     s.hold_mark = -1
-                    for h in [h for h in s.lines if h is not s.owner]:
+                    for h in [h for h in s.lines if h is not s.owner and h not in s.helpers]:
                         self.line(s, h, 0.0)
 
     def move(self) -> None:
@@ -458,16 +474,32 @@
             if keep == 1.0:
                 continue
             goal = h.load * keep
-            mine = [s for s in self.slices.values() if s.owner is h and s.hold_mark < 0]
-            for s in sorted(mine, key=lambda s: (-s.rate, s.id)):
-                if h.load - s.rate * 0.5 <= goal:
+            mine = [s for s in self.slices.values() if s.hold_mark < 0 and (s.owner is h or h in s.helpers)]
+            for s in sorted(mine, key=lambda s: (-s.part, s.id)):
+                if h.load - s.part * 0.5 <= goal:
                     continue
-                to = self.best(s, must=False)
+                # A slice that alone fills much of a server is shared: moved, it would crowd the next one.
+                share = s.part > HOT * self.capacity(h) * self.mean
+                less = s.rate / (2 + len(s.helpers))
+                to = self.best(s, less if share else s.part, must=False)
                 if to and to.strain(self.tight) * WORSE < strain and self.passes(s, to):
                     h.shed_at = self.now
-                    self.give(s, to, hold=True)
+                    if share:
+                        h.load -= s.part - less
+                        to.load += less
+                        to.taken += 1
+                        s.helpers.append(to)
+                        self.line(s, to, 1.0)
+                    elif s.owner is h:
+                        self.give(s, to, hold=True)
+                    else:
+                        h.load -= s.part
+                        self.drop(s, h)
+        for s in self.slices.values():
+            if s.helpers and s.owner and s.rate / len(s.helpers) < HOT / 2 * self.capacity(s.owner) * self.mean:
+                self.drop(s, min(s.helpers, key=lambda h: self.score(s, h)))
         for s in self.slices.values():
-            if s.owner and s.hold_mark < 0 and (to := self.best(s, must=False)):
+            if s.owner and s.hold_mark < 0 and (to := self.best(s, s.part, must=False)):
                 if self.score(s, to) > self.score(s, s.owner) and self.passes(s, to):
                     self.give(s, to, hold=True)
 
