--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -32,7 +32,8 @@
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
 PAUSE = 1.0  # report periods before a server that shed is judged again
 FEW = 3  # slices that a server is given in a turn off live owners
-CHILLED = 0.75  # of its share a cold server takes where keys are cached: all that it gets is cold there
+CHILLED = 0.2  # times the stated fall multiple: part of its share that a cold server takes where keys are
+# cached, as all that it gets is cold there
 EMPTY = 0.05  # floor of the weight that free room gives a destination
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
@@ -291,7 +292,7 @@
         return h.entry.weight * h.marks[s.id] * mine
 
     def capacity(self, h: Host) -> float:
-        part = self.warm(h) * (CHILLED if self.set.warm_keys and self.cold(h) else 1.0)
+        part = self.warm(h) * (CHILLED * self.set.fall_multiple if self.set.warm_keys and self.cold(h) else 1.0)
         return h.entry.weight * part / (h.floor or self.typical.get(h.entry.kind) or self.usual or 1.0)
 
     def survey(self) -> None:
@@ -334,7 +335,8 @@
     def best(self, s: Slice, more: float, must: bool) -> Host | None:
         """The top scorer among servers with room; the least used warm one where none has any."""
         taken = [s.owner, *s.helpers]
-        room = [h for h in self.pool if h not in taken and self.used(h, more) <= ROOM and h.strain(self.tight) <= self.strained]
+        room = [h for h in self.pool if h not in taken and self.used(h, more) <= ROOM]
+        room = [h for h in room if h.strain(self.tight) <= self.strained]
         if room:
             return max(room, key=lambda h: self.score(s, h) * (EMPTY + ROOM - self.used(h, more)))
         if not must:
@@ -482,7 +484,9 @@
                 share = s.part > HOT * self.capacity(h) * self.mean
                 less = s.rate / (2 + len(s.helpers))
                 to = self.best(s, less if share else s.part, must=False)
-                if to and to.strain(self.tight) * WORSE < strain and self.passes(s, to):
+                if not to or to.strain(self.tight) * WORSE >= strain or (share and self.cold(to)):
+                    continue
+                if self.passes(s, to):
                     h.shed_at = self.now
                     if share:
                         h.load -= s.part - less
@@ -496,7 +500,8 @@
                         h.load -= s.part
                         self.drop(s, h)
         for s in self.slices.values():
-            if s.helpers and s.owner and s.rate / len(s.helpers) < HOT / 2 * self.capacity(s.owner) * self.mean:
+            low = HOT / 2 * self.capacity(s.owner) * self.mean if s.owner else 0.0
+            if s.helpers and s.rate / len(s.helpers) < low:
                 self.drop(s, min(s.helpers, key=lambda h: self.score(s, h)))
         for s in self.slices.values():
             if s.owner and s.hold_mark < 0 and (to := self.best(s, s.part, must=False)):
--- a/corallanding/interface.py
+++ b/corallanding/interface.py
@@ -211,7 +211,8 @@
 
 
 Event = (
-    Membership | ProbeDone | HostSums | SliceSums | ProxySums | SliceGiven | OnRecord | ProxyJoined | ProxyLeft
+    Membership | ProbeDone | HostSums | SliceSums | ProxySums | SliceGiven | OnRecord | ProxyJoined
+    | ProxyLeft
     | Acked | PeerMessage | Due
 )  # fmt: skip
 
