--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -31,8 +31,8 @@
 EASE = 0.5  # and below which more is
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
 PAUSE = 1.0  # report periods before a server that shed is judged again
-FEW = 3  # slices that a server is given in a turn off live owners
-CHILLED = 0.2  # times the stated fall multiple: part of its share that a cold server takes where keys are
+FEW = 3  # slices that a server is given in a report window: at most for a cold one, else off live owners
+CHILLED = 0.25  # times the stated fall multiple: part of its share that a cold server takes where keys are
 # cached, as all that it gets is cold there
 EMPTY = 0.05  # floor of the weight that free room gives a destination
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
@@ -68,7 +68,8 @@
     load: float = 0.0  # invocations a second of the slices that it owns
     marks: dict[int, float] = field(default_factory=dict)  # -1/ln(hash) by slice
     probing: bool = False
-    taken: int = 0  # slices given this turn
+    taken: int = 0  # slices given in the present report window
+    taken_at: float = -math.inf
     shed_at: float = -math.inf  # when a slice last left it for being crowded
 
     def strain(self, objective: float) -> float:
@@ -218,15 +219,18 @@
         good = e.tries - e.errored
         h.good, h.bad, h.heard = h.good * keep + good, h.bad * keep + e.errored, self.now
         if good > 0 and e.latency > 0:
+            # Speed shows only while answers don't wait: a crowd says nothing of it (nor after a restart), a
+            # few answers little, a cold server only ill. A strained one is slow if the fleet is calm.
+            prior = self.typical.get(h.entry.kind) or self.usual or e.latency
             part = good / (good + 6.0)
-            h.latency += (e.latency - h.latency) * (part if h.latency else 1.0)
-            # Speed shows only while answers don't wait: a crowd says nothing of it (nor after a restart).
+            h.latency = h.latency or prior
+            h.latency += (e.latency - h.latency) * part
             calm = h.strain(self.tight) < CROWDED / 2
-            alone = 0.02 if self.median < CROWDED / 2 else 0.0  # the fleet is calm: this server is slow
-            prior = self.typical.get(h.entry.kind) or self.usual or h.latency
-            h.floor = h.floor or (h.latency if calm else min(h.latency, prior))
-            pace = 0.3 if h.latency < h.floor else 0.05 if calm else alone
-            h.floor += (h.latency - h.floor) * pace
+            h.floor = h.floor or prior
+            if h.latency < h.floor:
+                h.floor += (h.latency - h.floor) * (0.0 if self.cold(h) else 0.3)
+            elif calm or self.median < CROWDED / 2:
+                h.floor += (h.latency - h.floor) * (0.05 if calm else 0.02)
         fade = 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every))
         self.done = self.done * fade + good
         self.done_at = self.now
@@ -292,8 +296,8 @@
         return h.entry.weight * h.marks[s.id] * mine
 
     def capacity(self, h: Host) -> float:
-        part = self.warm(h) * (CHILLED * self.set.fall_multiple if self.set.warm_keys and self.cold(h) else 1.0)
-        return h.entry.weight * part / (h.floor or self.typical.get(h.entry.kind) or self.usual or 1.0)
+        chill = CHILLED * self.set.fall_multiple if self.set.warm_keys and self.cold(h) else 1.0
+        return h.entry.weight * self.warm(h) * chill / (h.floor or self.typical.get(h.entry.kind) or self.usual or 1.0)
 
     def survey(self) -> None:
         """Fair load for each server, from the slices' demand and the servers' speeds."""
@@ -306,7 +310,9 @@
         known = [s.rate for s in self.slices.values() if s.rates]
         usual = sum(known) / len(known) if known else 1.0
         for h in self.hosts.values():
-            h.load, h.taken = 0.0, 0
+            h.load = 0.0
+            if self.now - h.taken_at > self.set.report_every:
+                h.taken, h.taken_at = 0, self.now
         total = 0.0
         for s in self.slices.values():
             s.rate = s.rate if s.rates else usual
@@ -336,6 +342,7 @@
         """The top scorer among servers with room; the least used warm one where none has any."""
         taken = [s.owner, *s.helpers]
         room = [h for h in self.pool if h not in taken and self.used(h, more) <= ROOM]
+        room = [h for h in room if h.taken < FEW or not self.cold(h)]
         room = [h for h in room if h.strain(self.tight) <= self.strained]
         if room:
             return max(room, key=lambda h: self.score(s, h) * (EMPTY + ROOM - self.used(h, more)))
