A slice's demand leaves out the repeats of what went unanswered

Cause: in a jam the retries of a slice doubled its measured demand, so no server seemed to have room for it and it stayed where nothing was answered.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -35,6 +35,7 @@
 CHILLED = 0.25  # times the stated fall multiple: part of its share that a cold server takes where keys are
 # cached, as all that it gets is cold there
 EMPTY = 0.05  # floor of the weight that free room gives a destination
+REPEATS = 0.5  # part of the unanswered invocations of a slice that are taken for clients' repeats
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
 WRAP = 65536  # marks are numbered below this
@@ -260,7 +261,8 @@
 
     def demand(self, e: api.SliceSums) -> None:
         if (s := self.slices.get(e.slice)) and e.span > 0:
-            rate = e.invocations * 1000.0 / e.span
+            # Clients ask again for what went unanswered: about half of that is repeats, which end with it.
+            rate = (e.invocations - min(e.unanswered, e.invocations) * REPEATS) * 1000.0 / e.span
             old = s.rates.get(e.operation)
             part = 1.0 if old is None else 1.0 - 0.5 ** (e.span / 2000.0)
             s.rates[e.operation] = (old or 0.0) + (rate - (old or 0.0)) * part
@@ -297,7 +299,8 @@
 
     def capacity(self, h: Host) -> float:
         chill = CHILLED * self.set.fall_multiple if self.set.warm_keys and self.cold(h) else 1.0
-        return h.entry.weight * self.warm(h) * chill / (h.floor or self.typical.get(h.entry.kind) or self.usual or 1.0)
+        floor = h.floor or self.typical.get(h.entry.kind) or self.usual or 1.0
+        return h.entry.weight * self.warm(h) * chill / floor
 
     def survey(self) -> None:
         """Fair load for each server, from the slices' demand and the servers' speeds."""
