--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -39,14 +39,8 @@
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
 WRAP = 65536  # marks are numbered below this
+RETRY, PROOF = api.Retry.ONCE, api.Retry.PROVEN_UNRUN  # how idempotent work is tried again, and all other
 
-# One row a way of repeating: how proxies may try again on our orders. What may have run goes again only if
-# it is idempotent: fingerprinted work could land outside the group that drops repeats.
-TRY_AGAIN = {
-    api.Repeat.IDEMPOTENT: api.Retry.ONCE,
-    api.Repeat.FINGERPRINTED: api.Retry.PROVEN_UNRUN,
-    api.Repeat.SIDE_EFFECTING: api.Retry.PROVEN_UNRUN,
-}
 
 
 @dataclass(eq=False)
@@ -100,9 +94,6 @@
 
 @dataclass(eq=False)
 class Proxy:
-    id: int
-    zone: int
-    rate: float
     sent: deque[float] = field(default_factory=deque)
     unacked: deque[tuple[int, float]] = field(default_factory=deque)
 
@@ -130,7 +121,13 @@
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
             self.turn = max(self.turn, settings.messages_span / (settings.messages_most * SPARE))
-        self.tight = min((o.latency_objective for o in settings.operations), default=1000.0)
+        # A row an operation: its bit, its objective, how proxies may try again. What may have run goes again
+        # only if idempotent: fingerprinted work could land outside the group that drops repeats.
+        self.table = [
+            (1 << k, o.latency_objective, RETRY if o.repeat is api.Repeat.IDEMPOTENT else PROOF)
+            for k, o in enumerate(settings.operations)
+        ]
+        self.tight = min((objective for _, objective, _ in self.table), default=1000.0)
 
     # ---- the door ------------------------------------------------------------------------------------
 
@@ -163,7 +160,7 @@
                     if e.slice in self.slices:
                         self.slices[e.slice].lines[self.host(e.host)] = e.weight
                 case api.ProxyJoined():
-                    self.proxies[e.proxy] = Proxy(e.proxy, e.zone, e.rate)
+                    self.proxies[e.proxy] = Proxy()
                 case api.ProxyLeft():
                     self.proxies.pop(e.proxy, None)
                 case api.Due(handle=0):
@@ -191,6 +188,7 @@
     def listed(self, e: api.Membership) -> None:
         if e.form is api.ListForm.FAILED:
             # Ask again soon, spread by chance: the ask rule counts silence as knowledge.
+            self.out.append(api.Note("list call failed"))
             self.out.append(api.Remind(self.set.ask_within * (0.05 + 0.1 * self.chance()), 1))
             return
         self.fresh = self.fresh or e.form is not api.ListForm.SAVED
@@ -412,9 +410,8 @@
         orders = sum(isinstance(a, api.SetLine) for a in self.out[before:])
         if self.levels_due and self.slices and self.proxies:
             self.levels_due = False
-            for k, o in enumerate(self.set.operations):
-                self.out.append(api.Level(api.ALL_TABLES, 1 << k, self.level, TRY_AGAIN[o.repeat]))
-                orders += 1
+            self.out += [api.Level(api.ALL_TABLES, bit, self.level, retry) for bit, _, retry in self.table]
+            orders += len(self.table)
         if orders:
             self.mark = (self.mark + 1) % WRAP
             self.out.append(api.Mark(self.mark))
@@ -441,6 +438,9 @@
                 if to in s.helpers:
                     s.helpers.remove(to)
                 self.give(s, to, hold=False)
+            elif s.owner and self.leaving(s.owner):  # nowhere to go: the drain is kept
+                self.line(s, s.owner, 0.0)
+                s.owner = None
         for s in self.slices.values():
             for h in [h for h in s.lines if h is not s.owner and h not in self.pool]:
                 if self.leaving(h) or h in s.helpers:
@@ -463,14 +463,14 @@
             level = min(1.0, level * 1.1)
         if level != self.level:
             self.level, self.level_at, self.levels_due = level, self.now, True
+            self.out.append(api.Note(f"level {level:.2f}"))
 
     def release(self) -> None:
         """Old owners go once every proxy has acked, or the hold ends."""
         for s in self.slices.values():
             if s.hold_mark >= 0:
-                out = any((s.hold_mark - m) % WRAP < WRAP // 2 or m == s.hold_mark
-                          for p in self.proxies.values() for m, _ in p.unacked)  # fmt: skip
-                if not out or self.now >= s.hold_end:
+                out = [m for p in self.proxies.values() for m, _ in p.unacked]
+                if not any((s.hold_mark - m) % WRAP < WRAP // 2 for m in out) or self.now >= s.hold_end:
                     s.hold_mark = -1
                     for h in [h for h in s.lines if h is not s.owner and h not in s.helpers]:
                         self.line(s, h, 0.0)
