--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -39,7 +39,6 @@
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
 WRAP = 65536  # marks are numbered below this
-RETRY, PROOF = api.Retry.ONCE, api.Retry.PROVEN_UNRUN  # how idempotent work is tried again, and all other
 
 
 
@@ -121,13 +120,8 @@
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
             self.turn = max(self.turn, settings.messages_span / (settings.messages_most * SPARE))
-        # A row an operation: its bit, its objective, how proxies may try again. What may have run goes again
-        # only if idempotent: fingerprinted work could land outside the group that drops repeats.
-        self.table = [
-            (1 << k, o.latency_objective, RETRY if o.repeat is api.Repeat.IDEMPOTENT else PROOF)
-            for k, o in enumerate(settings.operations)
-        ]
-        self.tight = min((objective for _, objective, _ in self.table), default=1000.0)
+        self.table = [o.latency_objective for o in settings.operations]  # a row an operation
+        self.tight = min(self.table, default=1000.0)
 
     # ---- the door ------------------------------------------------------------------------------------
 
@@ -410,14 +404,16 @@
         orders = sum(isinstance(a, api.SetLine) for a in self.out[before:])
         if self.levels_due and self.slices and self.proxies:
             self.levels_due = False
-            self.out += [api.Level(api.ALL_TABLES, bit, self.level, retry) for bit, _, retry in self.table]
-            orders += len(self.table)
+            # Again only on proof that the first try never ran: that is safe for every operation. What timed
+            # out is late anyhow, and its repeat would feed a jam.
+            self.out.append(api.Level(api.ALL_TABLES, 0, self.level, api.Retry.PROVEN_UNRUN))
+            orders += 1
         if orders:
             self.mark = (self.mark + 1) % WRAP
             self.out.append(api.Mark(self.mark))
             for p in self.proxies.values():
                 p.sent.append(self.now)
-                p.unacked.append((self.mark, self.set.message_head + orders + 1 + len(self.set.operations)))
+                p.unacked.append((self.mark, self.set.message_head + orders + 2))
 
     def leave(self) -> None:
         """Slices without an owner, or whose owner is dead or draining, go at once, the busiest first."""
