--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -117,7 +117,6 @@
         self.done = self.peak = 0.0
         self.done_at = -math.inf
         self.level_at = 0.0
-        self.drain_at = self.release_at = -math.inf  # the last drain told of, and the start of its release
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
             self.turn = max(self.turn, settings.messages_span / (settings.messages_most * SPARE))
@@ -204,9 +203,6 @@
             h.entry, h.listed = entry, entry.state != "removed"
             if was and entry.state != "up":
                 self.urgent = True
-                if self.now - self.drain_at > self.set.cold:
-                    self.release_at = self.now - self.set.cold
-                self.drain_at = self.now
 
     def heard(self, e: api.HostSums) -> None:
         h = self.host(e.host)
@@ -344,10 +340,7 @@
         room = [h for h in room if h.taken < FEW or not self.cold(h)]
         room = [h for h in room if h.strain(self.tight) <= self.strained]
         if room:
-            # In a release, servers of the new generation are not drained again.
-            late = self.release_at if self.now - self.drain_at < self.set.cold else math.inf
-            new = [h for h in room if h.since > late]
-            return max(new or room, key=lambda h: self.score(s, h) * (EMPTY + ROOM - self.used(h, more)))
+            return max(room, key=lambda h: self.score(s, h) * (EMPTY + ROOM - self.used(h, more)))
         if not must:
             return None
         rest = [h for h in self.pool if h not in taken]
