Let in what the fleet was seen to answer of what is asked, and a little over

Cause: steps alone cut too late, then to a fifth of the demand, as repeats of what was refused tripled what was asked.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -27,13 +27,13 @@
 WORSE = 1.5  # and so many times the fleet's median: trouble that all share is not a server's
 RUN = 4  # tries in a row without an answer that make a server suspect
 SILENT = 2.0  # report periods without any answer after which a suspect is failing
-FULL = 0.8  # median strain of the fleet above which less is let in, where the site admits by share
-EASE = 0.5  # and below which more is
+FULL = 0.6  # median strain of the fleet above which less is let in, where the site admits by share
+EASE = 0.45  # and below which more is
+LEAST = 0.1  # the least share that is let in
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
 PAUSE = 1.0  # report periods before a server that shed is judged again
 FEW = 3  # slices that a server is given in a report window: at most for a cold one, else off live owners
-CHILLED = 0.25  # times the stated fall multiple: part of its share that a cold server takes where keys are
-# cached, as all that it gets is cold there
+CHILLED = 0.25  # times the fall multiple: part of its share that a cold server takes where keys are cached
 EMPTY = 0.05  # floor of the weight that free room gives a destination
 REPEATS = 0.5  # part of the unanswered invocations of a slice that are taken for clients' repeats
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
@@ -114,8 +114,8 @@
         self.median = 0.0  # strain of the median server
         self.usual = 0.0  # speed (as `Host.floor`) of the median server, and of each kind's
         self.typical: dict[int, float] = {}
-        self.done = self.peak = 0.0
-        self.done_at = -math.inf
+        self.done = self.asked = self.peak = 0.0
+        self.faded_at = -math.inf
         self.level_at = 0.0
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
@@ -162,8 +162,6 @@
                     self.out.append(api.Remind(self.turn, 0))
                 case api.Due(handle=1):
                     self.out.append(api.Follow(True))
-                case _:
-                    pass
         if turn or self.urgent:
             self.plan(turn)
         return self.out
@@ -224,9 +222,8 @@
                 h.floor += (h.latency - h.floor) * (0.0 if self.cold(h) else 0.3)
             elif calm or self.median < CROWDED / 2:
                 h.floor += (h.latency - h.floor) * (0.05 if calm else 0.02)
-        fade = 0.5 ** ((self.now - self.done_at) / (PEAK_SPAN * self.set.report_every))
-        self.done = self.done * fade + good
-        self.done_at = self.now
+        self.fade()
+        self.done += good
         h.run = 0 if good else h.run + e.errored
         h.good_at = self.now if good else h.good_at
         # A run of failures is a crash, a hang or a crowd. A crash fails a probe, a hang gives no good answer
@@ -251,7 +248,14 @@
             self.urgent = True
         h.failed_at = self.now
 
+    def fade(self) -> None:
+        """Counts of what the fleet was asked and answered, over a few report periods."""
+        keep = 0.5 ** ((self.now - self.faded_at) / (PEAK_SPAN * self.set.report_every))
+        self.done, self.asked, self.faded_at = self.done * keep, self.asked * keep, self.now
+
     def demand(self, e: api.SliceSums) -> None:
+        self.fade()
+        self.asked += e.invocations
         if (s := self.slices.get(e.slice)) and e.span > 0:
             # Clients ask again for what went unanswered: about half of that is repeats, which end with it.
             rate = (e.invocations - min(e.unanswered, e.invocations) * REPEATS) * 1000.0 / e.span
@@ -271,9 +275,6 @@
         """Told to be gone or draining: nothing may go there."""
         return h.entry.state != "up" or (not h.listed and self.fresh)
 
-    def sound(self, h: Host) -> bool:
-        return h.listed and h.entry.state == "up" and self.now - h.failed_at > CLEAR
-
     def cold(self, h: Host) -> bool:
         return self.now - h.since < self.set.cold
 
@@ -314,8 +315,8 @@
             total += s.rate
             for h in ([s.owner] if s.owner else []) + s.helpers:
                 h.load += s.part
-        self.pool = [h for h in self.hosts.values() if self.sound(h)]
         listed = [h for h in self.hosts.values() if h.listed and h.entry.state == "up"]
+        self.pool = [h for h in listed if self.now - h.failed_at > CLEAR]
         if len(self.pool) * 2 < len(listed):  # most failing at once: the path or the work, not the servers
             self.pool = listed
         space = sum(self.capacity(h) for h in listed)
@@ -324,9 +325,10 @@
         self.strained = max(CROWDED, WORSE * self.median)
         # A cold server's part is counted against the most that the fleet was seen to answer: in an overload
         # a fair part of what is asked would push it over.
-        span = PEAK_SPAN * self.set.report_every
-        done = self.done * 0.5 ** ((self.now - self.done_at) / span) * math.log(2.0) * 1000.0 / span
-        self.peak = max(self.peak, done / space if space else 0.0)
+        self.fade()
+        unit = math.log(2.0) * 1000.0 / (PEAK_SPAN * self.set.report_every)
+        self.peak = max(self.peak, self.done * unit / space if space else 0.0)
+        self.fit = self.peak * space / max(self.asked * unit, 0.001)  # what part of the demand it can answer
         self.mean = total / space if space else 0.0
 
     def used(self, h: Host, more: float = 0.0) -> float:
@@ -453,10 +455,10 @@
         if self.set.admission != "fraction" or self.now - self.level_at < wait:
             return
         level = self.level
-        if self.median > FULL:
-            level = max(0.2, level * 0.8)
+        if self.median > FULL or (self.fit < 0.8 and self.median > FULL / 2):
+            level = max(LEAST, min(level * 0.95, self.fit))
         elif self.median < EASE:
-            level = min(1.0, level * 1.1)
+            level = min(1.0, level * 1.1, max(level, self.fit * ROOM))
         if level != self.level:
             self.level, self.level_at, self.levels_due = level, self.now, True
             self.out.append(api.Note(f"level {level:.2f}"))
