--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -31,10 +31,8 @@
 EASE = 0.45  # and below which more is
 LEAST = 0.1  # the least share that is let in
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
-PAUSE = 1.0  # report periods before a server that shed is judged again
 FEW = 3  # slices that a server is given in a report window: at most for a cold one, else off live owners
 CHILLED = 0.25  # times the fall multiple: part of its share that a cold server takes where keys are cached
-EMPTY = 0.05  # floor of the weight that free room gives a destination
 REPEATS = 0.5  # part of the unanswered invocations of a slice that are taken for clients' repeats
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
@@ -117,6 +115,7 @@
         self.done = self.asked = self.peak = 0.0
         self.faded_at = -math.inf
         self.level_at = 0.0
+        self.window = settings.report_every
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
             self.turn = max(self.turn, settings.messages_span / (settings.messages_most * SPARE))
@@ -307,7 +306,7 @@
         usual = sum(known) / len(known) if known else 1.0
         for h in self.hosts.values():
             h.load = 0.0
-            if self.now - h.taken_at > self.set.report_every:
+            if self.now - h.taken_at > self.window:
                 h.taken, h.taken_at = 0, self.now
         total = 0.0
         for s in self.slices.values():
@@ -316,6 +315,9 @@
             for h in ([s.owner] if s.owner else []) + s.helpers:
                 h.load += s.part
         listed = [h for h in self.hosts.values() if h.listed and h.entry.state == "up"]
+        # How often a sum comes anew: the period, or longer where the lines of one don't fit the intake.
+        lines = len(listed) * self.set.zones + len(self.slices) * len(self.table)
+        self.window = max(self.set.report_every, lines * 1000.0 / self.set.reports_per_s)
         self.pool = [h for h in listed if self.now - h.failed_at > CLEAR]
         if len(self.pool) * 2 < len(listed):  # most failing at once: the path or the work, not the servers
             self.pool = listed
@@ -342,7 +344,7 @@
         room = [h for h in room if h.taken < FEW or not self.cold(h)]
         room = [h for h in room if h.strain(self.tight) <= self.strained]
         if room:
-            return max(room, key=lambda h: self.score(s, h) * (EMPTY + ROOM - self.used(h, more)))
+            return max(room, key=lambda h: self.score(s, h) * (ROOM * 1.05 - self.used(h, more)))
         if not must:
             return None
         rest = [h for h in self.pool if h not in taken]
@@ -365,10 +367,9 @@
     def line(self, s: Slice, h: Host, weight: float) -> None:
         if s.lines.get(h, 0.0) != weight:
             self.out.append(api.SetLine(s.id, h.id, weight))
-            if weight:
-                s.lines[h] = weight
-            else:
-                s.lines.pop(h, None)
+            s.lines[h] = weight
+            if not weight:
+                del s.lines[h]
 
     def give(self, s: Slice, h: Host, hold: bool) -> None:
         """Make `h` the owner: the new line first, then the old ones go, or stay until acks."""
@@ -381,10 +382,8 @@
             old.load -= s.part
         h.load += s.part
         h.taken += 1
-        if hold:
-            s.hold_mark, s.hold_end = (self.mark + 1) % WRAP, self.now + HOLD
-        else:
-            s.hold_mark = -1
+        s.hold_mark = (self.mark + 1) % WRAP if hold else -1
+        s.hold_end = self.now + HOLD
 
     def plan(self, turn: bool) -> None:
         before = len(self.out)
@@ -475,7 +474,7 @@
 
     def move(self) -> None:
         """Moves off live owners: off crowded ones, or won by a better score; gated and paced."""
-        wait = PAUSE * self.set.report_every + 2 * self.set.transit
+        wait = self.window + 2 * self.set.transit
         for h in [h for h in self.pool if self.now - h.shed_at > wait]:
             strain, used = h.strain(self.tight), self.used(h)
             keep = min(self.strained / max(strain, 0.01), 1.0)
@@ -523,5 +522,5 @@
             if self.set.may_probe and not to.probing and self.now - to.heard > self.set.report_every:
                 to.probing = True
                 self.out.append(api.Probe(to.id))
-        known = to.run == 0 and self.now - to.good_at <= 2 * self.set.report_every
+        known = to.run == 0 and self.now - to.good_at <= 2 * self.window
         return to.run < RUN and to.taken < FEW and (known or self.now - s.want_at >= self.set.report_every)
