--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -26,11 +26,12 @@
 SHED = 1.5  # times its fair part: a server with more passes slices on before it is strained
 WORSE = 1.5  # and so many times the fleet's median: trouble that all share is not a server's
 RUN = 4  # tries in a row without an answer that make a server suspect
-SILENT = 2.0  # report periods without any answer after which a suspect is failing
+SILENT = 2.0  # windows of sums without any answer after which a suspect is failing
 FULL = 0.6  # median strain of the fleet above which less is let in, where the site admits by share
 EASE = 0.45  # and below which more is
 LEAST = 0.1  # the least share that is let in
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
+PAUSE = 1.5  # windows of sums before a server that shed is judged again
 FEW = 3  # slices that a server is given in a report window: at most for a cold one, else off live owners
 CHILLED = 0.25  # times the fall multiple: part of its share that a cold server takes where keys are cached
 REPEATS = 0.5  # part of the unanswered invocations of a slice that are taken for clients' repeats
@@ -229,7 +230,7 @@
         # for windows on end, a crowded server goes on answering some: it sheds, but is not emptied, or its
         # slices would crowd the next one.
         if h.run >= RUN:
-            if self.now - h.good_at > SILENT * self.set.report_every:
+            if self.now - h.good_at > SILENT * self.window:
                 self.failing(h)
             elif self.set.may_probe and not h.probing:
                 h.probing = True
@@ -474,7 +475,7 @@
 
     def move(self) -> None:
         """Moves off live owners: off crowded ones, or won by a better score; gated and paced."""
-        wait = self.window + 2 * self.set.transit
+        wait = PAUSE * self.window + 2 * self.set.transit
         for h in [h for h in self.pool if self.now - h.shed_at > wait]:
             strain, used = h.strain(self.tight), self.used(h)
             keep = min(self.strained / max(strain, 0.01), 1.0)
