A cold server whose answers are late sheds half at once

Cause: two slices of a server 11 s old grew hot, its answers were late for four seconds, and the ordinary shed found no room for such slices.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -103,20 +103,16 @@
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, Proxy] = {}
         self.out: list[api.Action] = []
-        self.now = 0.0
-        self.mark = 0
+        self.now, self.mark, self.level, self.level_at = 0.0, 0, 1.0, 0.0
         self.fresh = False  # a list newer than the saved one has come
-        self.started = False
-        self.urgent = False
+        self.started = self.urgent = False
         self.levels_due = True
-        self.level = 1.0
         self.median = 0.0  # strain of the median server
         self.usual = 0.0  # speed (as `Host.floor`) of the median server, and of each kind's
         self.typical: dict[int, float] = {}
         self.done = self.asked = self.peak = 0.0
         self.faded_at = -math.inf
-        self.level_at = 0.0
-        self.window = settings.report_every
+        self.window = self.wait = settings.report_every
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
             self.turn = max(self.turn, settings.messages_span / (settings.messages_most * SPARE))
@@ -319,6 +315,7 @@
         # How often a sum comes anew: the period, or longer where the lines of one don't fit the intake.
         lines = len(listed) * self.set.zones + len(self.slices) * len(self.table)
         self.window = max(self.set.report_every, lines * 1000.0 / self.set.reports_per_s)
+        self.wait = PAUSE * self.window + 2 * self.set.transit  # until sums tell of a change
         self.pool = [h for h in listed if self.now - h.failed_at > CLEAR]
         if len(self.pool) * 2 < len(listed):  # most failing at once: the path or the work, not the servers
             self.pool = listed
@@ -420,14 +417,18 @@
     def leave(self) -> None:
         """Slices without an owner, or whose owner is dead or draining, go at once, the busiest first."""
         lost = [s for s in self.slices.values() if s.owner is None or s.owner not in self.pool]
-        # A cold server that holds too much (it died with its slices and came back, or they grew) tips over.
-        most = TIPPING * self.set.fall_multiple if any(not self.cold(h) for h in self.pool) else math.inf
-        for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
-            h = s.owner
-            if h and h in self.pool and self.cold(h) and self.used(h) > most:
-                h.load -= s.part
-                lost.append(s)
-                s.owner = None
+        # A cold server that holds too much (it died with its slices and came back, or they grew), or whose
+        # answers are late, tips over: what is too much leaves without waiting for gate or hold.
+        warm = any(not self.cold(h) for h in self.pool)
+        for h in [h for h in self.pool if warm and self.cold(h)]:
+            most = TIPPING * self.set.fall_multiple
+            if h.strain(self.tight) > 1.0 and self.now - h.shed_at > self.wait:
+                most, h.shed_at = min(most, self.used(h) / 2), self.now
+            for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
+                if s.owner is h and self.used(h) > most:
+                    h.load -= s.part
+                    lost.append(s)
+                    s.owner = None
         for s in sorted(lost, key=lambda s: (-s.rate, s.id)):
             if s.owner and not s.owner.listed and not self.fresh:
                 continue  # the saved list may be older than this line
@@ -475,8 +476,7 @@
 
     def move(self) -> None:
         """Moves off live owners: off crowded ones, or won by a better score; gated and paced."""
-        wait = PAUSE * self.window + 2 * self.set.transit
-        for h in [h for h in self.pool if self.now - h.shed_at > wait]:
+        for h in [h for h in self.pool if self.now - h.shed_at > self.wait]:
             strain, used = h.strain(self.tight), self.used(h)
             keep = min(self.strained / max(strain, 0.01), 1.0)
             if used > SHED and strain > CROWDED / 2:
