--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -56,7 +56,6 @@
     run: int = 0  # tries in a row without an answer
     good_at: float = -math.inf  # when a good answer was last heard of
     heard: float = -math.inf
-    owed: float = 0.0  # tries that its slices made likely since it was last heard of
     latency: float = 0.0  # smoothed mean answer
     floor: float = 0.0  # the same when uncrowded: its speed
     load: float = 0.0  # invocations a second of the slices that it owns
@@ -113,7 +112,6 @@
         self.typical: dict[int, float] = {}
         self.done = self.asked = self.peak = 0.0
         self.faded_at = -math.inf
-        self.surveyed = math.inf
         self.window = self.wait = settings.report_every
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
@@ -207,7 +205,6 @@
         keep = 0.5 ** (e.span / max(1.0, self.set.report_every))
         good = e.tries - e.errored
         h.good, h.bad, h.heard = h.good * keep + good, h.bad * keep + e.errored, self.now
-        h.owed = 0.0
         if good > 0 and e.latency > 0:
             # Speed shows only while answers don't wait: a crowd says nothing of it (nor after a restart), a
             # few answers little, a cold server only ill. A strained one is slow if the fleet is calm.
@@ -231,18 +228,14 @@
         if h.run >= RUN:
             if self.now - h.good_at > SILENT * self.window:
                 self.failing(h)
-            else:
-                self.probe(h)
-
-    def probe(self, h: Host) -> None:
-        if self.set.may_probe and not h.probing:
-            h.probing = True
-            self.out.append(api.Probe(h.id))
+            elif self.set.may_probe and not h.probing:
+                h.probing = True
+                self.out.append(api.Probe(h.id))
 
     def probed(self, e: api.ProbeDone) -> None:
         h = self.host(e.host)
         h.probing = False
-        if e.end in (api.ProbeEnd.UNREACHABLE, api.ProbeEnd.RESET, api.ProbeEnd.TIMEOUT) and max(h.run, h.owed) >= RUN:
+        if e.end in (api.ProbeEnd.UNREACHABLE, api.ProbeEnd.RESET, api.ProbeEnd.TIMEOUT) and h.run >= RUN:
             self.failing(h)
 
     def failing(self, h: Host) -> None:
@@ -309,11 +302,10 @@
         known = [s.rate for s in self.slices.values() if s.rates]
         usual = sum(known) / len(known) if known else 1.0
         for h in self.hosts.values():
-            h.owed += h.load * max(0.0, self.now - self.surveyed) / 1000.0
             h.load = 0.0
             if self.now - h.taken_at > self.window:
                 h.taken, h.taken_at = 0, self.now
-        total, self.surveyed = 0.0, self.now
+        total = 0.0
         for s in self.slices.values():
             s.rate = s.rate if s.rates else usual
             total += s.rate
@@ -402,9 +394,6 @@
                 s.helpers = [h for h in s.lines if h is not s.owner]  # or an old owner: dropped if not needed
                 for h in s.lines:
                     h.load += s.part
-        # Much is asked of a server and nothing heard: lost without a word, or hanging. Its tries time out late.
-        for h in [h for h in self.pool if h.owed >= 2 * RUN and self.now - h.heard > PAUSE * self.window]:
-            self.probe(h)
         self.urgent = False
         self.leave()
         if turn and self.may_send(False):
@@ -531,7 +520,8 @@
         """The gate: the destination was heard sound, or a window has passed without a run of failures."""
         if s.want is not to:
             s.want, s.want_at = to, self.now
-            if self.now - to.heard > self.set.report_every:
-                self.probe(to)
+            if self.set.may_probe and not to.probing and self.now - to.heard > self.set.report_every:
+                to.probing = True
+                self.out.append(api.Probe(to.id))
         known = to.run == 0 and self.now - to.good_at <= 2 * self.window
         return to.run < RUN and to.taken < FEW and (known or self.now - s.want_at >= self.set.report_every)
