Cold servers that are strained get nothing and shed sooner

Cause: in a strained fleet the bar for a destination rises with the median, and a new server whose answers took two seconds was given four more slices.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -340,7 +340,7 @@
         taken = [s.owner, *s.helpers]
         room = [h for h in self.pool if h not in taken and self.used(h, more) <= ROOM]
         room = [h for h in room if h.taken < FEW or not self.cold(h)]
-        room = [h for h in room if h.strain(self.tight) <= self.strained]
+        room = [h for h in room if h.strain(self.tight) <= (CROWDED if self.cold(h) else self.strained)]
         if room:
             return max(room, key=lambda h: self.score(s, h) * (ROOM * 1.05 - self.used(h, more)))
         if not must:
@@ -422,7 +422,7 @@
         warm = any(not self.cold(h) for h in self.pool)
         for h in [h for h in self.pool if warm and self.cold(h)]:
             most = TIPPING * self.set.fall_multiple
-            if h.strain(self.tight) > 1.0 and self.now - h.shed_at > self.wait:
+            if h.strain(self.tight) > SHED * CROWDED and self.now - h.shed_at > self.wait:
                 most, h.shed_at = min(most, self.used(h) / 2), self.now
             for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
                 if s.owner is h and self.used(h) > most:
