--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -302,7 +302,7 @@
         usual = sum(known) / len(known) if known else 1.0
         for h in self.hosts.values():
             h.load = 0.0
-            if self.now - h.taken_at > self.window:
+            if self.now - h.taken_at > (self.wait if self.cold(h) else self.window):
                 h.taken, h.taken_at = 0, self.now
         total = 0.0
         for s in self.slices.values():
@@ -422,7 +422,7 @@
         warm = any(not self.cold(h) for h in self.pool)
         for h in [h for h in self.pool if warm and self.cold(h)]:
             most = TIPPING * self.set.fall_multiple
-            if h.strain(self.tight) > SHED * CROWDED and self.now - h.shed_at > self.wait:
+            if h.strain(self.tight) > SHED * CROWDED and self.now - h.shed_at > self.window:
                 most, h.shed_at = min(most, self.used(h) / 2), self.now
             for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
                 if s.owner is h and self.used(h) > most:
@@ -497,7 +497,7 @@
                 if share and (self.cold(to) or self.used(to, less) * ROOM > self.used(h)):
                     continue
                 if self.passes(s, to):
-                    h.shed_at = self.now
+                    h.shed_at = h.shed_at if self.cold(h) else self.now  # a cold one's is for what tips it
                     if share:
                         h.load -= s.part - less
                         to.load += less
