--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -18,7 +18,7 @@
 
 CLEAR = 6_000.0  # ms without word of failing after which a server may own again (design)
 HOLD = 5_000.0  # ms that the old owner stays listed at most while acks are out (design)
-RAMP = 0.6  # of the stated cold time: how long a new server takes to get its full share (about 10 s)
+RAMP = 0.75  # of the stated cold time: how long a new server takes to get its full share (about 12 s)
 TIPPING = 0.5  # of the stated fall multiple: load over its fair part at which a cold server sheds at once
 SITTING = 8.0  # times the number of slices: what a sitting owner's score counts more than a stranger's
 ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
