--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -18,13 +18,13 @@
 
 CLEAR = 6_000.0  # ms without word of failing after which a server may own again (design)
 HOLD = 5_000.0  # ms that the old owner stays listed at most while acks are out (design)
-RAMP = 0.75  # of the stated cold time: how long a new server takes to get its full share (about 12 s)
+RAMP = 0.75  # of the stated cold time: how long a new server takes to get its full share (12 to 13.5 s)
 TIPPING = 0.5  # of the stated fall multiple: load over its fair part at which a cold server sheds at once
 SITTING = 8.0  # times the number of slices: what a sitting owner's score counts more than a stranger's
 ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
 CROWDED = 0.5  # strain (see `Host.strain`) above which a server is crowded
-SHED = 1.5  # times its fair part: a server with more passes slices on before it is strained
 WORSE = 1.5  # and so many times the fleet's median: trouble that all share is not a server's
+SHED = 1.5  # times its fair part: a server with more passes slices on before it is strained
 RUN = 4  # tries in a row without an answer that make a server suspect
 SILENT = 2.0  # windows of sums without any answer after which a suspect is failing
 FULL = 0.6  # median strain of the fleet above which less is let in, where the site admits by share
@@ -32,7 +32,7 @@
 LEAST = 0.1  # the least share that is let in
 SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
 PAUSE = 1.5  # windows of sums before a server that shed is judged again
-FEW = 3  # slices that a server is given in a report window: at most for a cold one, else off live owners
+FEW = 3  # slices that a server is given in a window: at most for a cold one, else off live owners
 CHILLED = 0.25  # times the fall multiple: part of its share that a cold server takes where keys are cached
 REPEATS = 0.5  # part of the unanswered invocations of a slice that are taken for clients' repeats
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
@@ -41,6 +41,10 @@
 
 
 
+def middle(values: list[float]) -> float:
+    return sorted(values)[len(values) // 2] if values else 0.0
+
+
 @dataclass(eq=False)
 class Host:
     """All that is known of one server."""
@@ -61,7 +65,7 @@
     load: float = 0.0  # invocations a second of the slices that it owns
     marks: dict[int, float] = field(default_factory=dict)  # -1/ln(hash) by slice
     probing: bool = False
-    taken: int = 0  # slices given in the present report window
+    taken: int = 0  # slices given in the present window
     taken_at: float = -math.inf
     shed_at: float = -math.inf  # when a slice last left it for being crowded
 
@@ -228,9 +232,13 @@
         if h.run >= RUN:
             if self.now - h.good_at > SILENT * self.window:
                 self.failing(h)
-            elif self.set.may_probe and not h.probing:
-                h.probing = True
-                self.out.append(api.Probe(h.id))
+            else:
+                self.probe(h)
+
+    def probe(self, h: Host) -> None:
+        if self.set.may_probe and not h.probing:
+            h.probing = True
+            self.out.append(api.Probe(h.id))
 
     def probed(self, e: api.ProbeDone) -> None:
         h = self.host(e.host)
@@ -292,12 +300,9 @@
 
     def survey(self) -> None:
         """Fair load for each server, from the slices' demand and the servers' speeds."""
-        floors = sorted((h.floor, h.entry.kind) for h in self.hosts.values() if h.floor and h.listed)
-        self.usual = floors[len(floors) // 2][0] if floors else 0.0
-        self.typical = {}
-        for kind in sorted({k for _, k in floors}):
-            like = [f for f, k in floors if k == kind]
-            self.typical[kind] = like[len(like) // 2]
+        floors = [(h.floor, h.entry.kind) for h in self.hosts.values() if h.floor and h.listed]
+        self.usual = middle([f for f, _ in floors])
+        self.typical = {kind: middle([f for f, k in floors if k == kind]) for _, kind in floors}
         known = [s.rate for s in self.slices.values() if s.rates]
         usual = sum(known) / len(known) if known else 1.0
         for h in self.hosts.values():
@@ -319,8 +324,7 @@
         if len(self.pool) * 2 < len(listed):  # most failing at once: the path or the work, not the servers
             self.pool = listed
         space = sum(self.capacity(h) for h in listed)
-        strains = sorted(h.strain(self.tight) for h in listed)
-        self.median = strains[len(strains) // 2] if strains else 0.0
+        self.median = middle([h.strain(self.tight) for h in listed])
         self.strained = max(CROWDED, WORSE * self.median)
         # A cold server's part is counted against the most that the fleet was seen to answer: in an overload
         # a fair part of what is asked would push it over.
@@ -343,9 +347,7 @@
         room = [h for h in room if h.strain(self.tight) <= (CROWDED if self.cold(h) else self.strained)]
         if room:
             return max(room, key=lambda h: self.score(s, h) * (ROOM * 1.05 - self.used(h, more)))
-        if not must:
-            return None
-        rest = [h for h in self.pool if h not in taken]
+        rest = [h for h in self.pool if must and h not in taken]
         rest = [h for h in rest if not self.cold(h)] or rest
         return min(rest, key=lambda h: self.used(h, more)) if rest else None
 
@@ -420,11 +422,12 @@
         # A cold server that holds too much (it died with its slices and came back, or they grew), or whose
         # answers are late, tips over: what is too much leaves without waiting for gate or hold.
         warm = any(not self.cold(h) for h in self.pool)
+        busiest = sorted(self.slices.values(), key=lambda s: (-s.rate, s.id))
         for h in [h for h in self.pool if warm and self.cold(h)]:
             most = TIPPING * self.set.fall_multiple
             if h.strain(self.tight) > SHED * CROWDED and self.now - h.shed_at > self.window:
                 most, h.shed_at = min(most, self.used(h) / 2), self.now
-            for s in sorted(self.slices.values(), key=lambda s: (-s.rate, s.id)):
+            for s in busiest:
                 if s.owner is h and self.used(h) > most:
                     h.load -= s.part
                     lost.append(s)
@@ -466,9 +469,9 @@
 
     def release(self) -> None:
         """Old owners go once every proxy has acked, or the hold ends."""
+        out = [m for p in self.proxies.values() for m, _ in p.unacked]
         for s in self.slices.values():
             if s.hold_mark >= 0:
-                out = [m for p in self.proxies.values() for m, _ in p.unacked]
                 if not any((s.hold_mark - m) % WRAP < WRAP // 2 for m in out) or self.now >= s.hold_end:
                     s.hold_mark = -1
                     for h in [h for h in s.lines if h is not s.owner and h not in s.helpers]:
@@ -522,8 +525,7 @@
         """The gate: the destination was heard sound, or a window has passed without a run of failures."""
         if s.want is not to:
             s.want, s.want_at = to, self.now
-            if self.set.may_probe and not to.probing and self.now - to.heard > self.set.report_every:
-                to.probing = True
-                self.out.append(api.Probe(to.id))
+            if self.now - to.heard > self.set.report_every:
+                self.probe(to)
         known = to.run == 0 and self.now - to.good_at <= 2 * self.window
         return to.run < RUN and to.taken < FEW and (known or self.now - s.want_at >= self.set.report_every)
--- a/corallanding/simhost/__main__.py
+++ b/corallanding/simhost/__main__.py
@@ -36,8 +36,7 @@
         if name == "BEGIN_BATCH":
             if self.now is not None:
                 raise Malformed("BEGIN_BATCH inside a batch")
-            codec.whole(f, "simTime")
-            self.now = codec.ms(f, "simTime")
+            self.now = codec.whole(f, "simTime") / 1000.0
             return False
         if self.now is None:
             raise Malformed(f"{name!r} outside a batch")
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -53,7 +53,7 @@
     def run(
         self, seconds: float, each: Callable[[], list[api.Event]] | None = None, ack: bool = True
     ) -> None:
-        """Timers fall due; proxies ack 200 ms after an order; `each` speaks once a second."""
+        """Timers fall due; proxies ack what they were sent at the next; `each` speaks once a second."""
         end, beat = self.now + seconds * 1000, self.now + 1000
         while True:
             at = min([t for t, _ in self.due] + [beat, end])
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -24,6 +24,14 @@
     return sums(dict.fromkeys((11, 12, 13, 14), 20))
 
 
+def calm(**over: object) -> Rig:
+    """Four servers, two slices each, three quiet seconds."""
+    rig = Rig(**over)
+    rig.start(HOSTS, EVEN)
+    rig.run(3, all_well)
+    return rig
+
+
 def listed(rig: Rig, *entries: api.HostEntry, form: api.ListForm = api.ListForm.CHANGES) -> None:
     rig.step(api.Membership(form, 2, entries))
 
@@ -49,9 +57,7 @@
 
 
 def test_drain() -> None:
-    rig = Rig()
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm()
     rig.say("12 drains: its slices leave in the same step, the new line before the old one goes")
     listed(rig, up(12, "draining"))
     rig.run(1, all_well)
@@ -59,9 +65,7 @@
 
 
 def test_death() -> None:
-    rig = Rig()
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm()
     rig.say("13 answers nothing more and fails its probe: a crash")
     rig.step(*sums({11: 20, 12: 20, 14: 20}, {13: 20}))
     rig.step(api.ProbeDone(13, api.ProbeEnd.UNREACHABLE))
@@ -80,9 +84,7 @@
 
 
 def test_trouble_everywhere() -> None:
-    rig = Rig()
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm()
     rig.say("three of four answer nothing: the path, not the servers; they are not emptied into the fourth")
     rig.run(6, lambda: sums({14: 20}, dict.fromkeys((11, 12, 13), 20)))
     rig.check("trouble_everywhere")
@@ -101,9 +103,7 @@
 
 
 def test_ramp_of_a_returning_server() -> None:
-    rig = Rig()
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm()
     rig.say("12 dies with its slices and is listed with a fresh start: it keeps what a cold one can take")
     rig.step(*[api.SliceSums(s, 0, 30, 0, 1000.0) for s in (1, 5)])
     listed(rig, up(12, since=rig.now - 500))
@@ -114,9 +114,7 @@
 
 
 def test_full_channel() -> None:
-    rig = Rig(messages_most=4)
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm(messages_most=4)
     rig.say("three drains, one by one; no proxy gets more than 3 of 4 messages in 10 s, the rest waits")
     for host in (12, 13, 14):
         listed(rig, up(host, "draining"))
@@ -147,9 +145,7 @@
 
 
 def test_let_in_less() -> None:
-    rig = Rig(admission="fraction")
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm(admission="fraction")
     rig.say("the whole fleet is strained: less is let in, step by step, and more again after")
     rig.run(4, lambda: sums(dict.fromkeys((11, 12, 13, 14), 10), dict.fromkeys((11, 12, 13, 14), 30)))
     rig.run(6, all_well)
@@ -157,9 +153,7 @@
 
 
 def test_slice_in_demand_is_shared() -> None:
-    rig = Rig()
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm()
     rig.say("slice 2 alone crowds 13: the next in rank is listed beside it, and dropped when demand falls")
     hot: list[api.Event] = [api.SliceSums(2, 0, 90, 0, 1000.0)]
     rig.run(4, lambda: sums({11: 20, 12: 20, 13: 20, 14: 20}, {13: 20}) + hot)
@@ -169,9 +163,7 @@
 
 
 def test_repeats_are_no_demand() -> None:
-    rig = Rig()
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm()
     rig.say(
         "half of what went unanswered is clients' repeats: slice 2 weighs as before, no move for its load"
     )
@@ -192,9 +184,7 @@
 
 
 def test_one_quick_answer_tells_no_speed() -> None:
-    rig = Rig()
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm()
     rig.step(api.HostSums(0, 14, 1, 0, 20.0, 1000.0))
     speeds = [round(rig.assigner.hosts[h].floor) for h in (13, 14)]
     rig.say(f"after one quick answer of 14, servers 13 and 14 count as answering in {speeds} ms")
@@ -202,9 +192,7 @@
 
 
 def test_stale_sums_of_a_restart() -> None:
-    rig = Rig()
-    rig.start(HOSTS, EVEN)
-    rig.run(3, all_well)
+    rig = calm()
     rig.say("12 restarted; sums of its old process come late and are passed over")
     listed(rig, up(12, since=rig.now - 200))
     rig.step(*sums({}, {12: 30}))
