Keep servers that a list drops while they show life; newcomers prove themselves first

Now a server that is gone from the list, was not seen draining and answers (work or probe) stays; one that fails its probe leaves at once. A server newly listed counts only once it shows life: a list may name servers that do not exist. Also covers lists that blink, empty or go back in time. Harm: a dying server keeps work for one probe longer.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -40,7 +40,6 @@
 WRAP = 65536  # marks are numbered below this
 
 
-
 def middle(values: list[float]) -> float:
     return sorted(values)[len(values) // 2] if values else 0.0
 
@@ -59,7 +58,7 @@
     bad: float = 0.0
     run: int = 0  # tries in a row without an answer
     good_at: float = -math.inf  # when a good answer was last heard of
-    heard: float = -math.inf
+    shown: float = -math.inf  # its last sign of life: a good answer, a passed probe, or the saved list
     latency: float = 0.0  # smoothed mean answer
     floor: float = 0.0  # the same when uncrowded: its speed
     load: float = 0.0  # invocations a second of the slices that it owns
@@ -84,7 +83,8 @@
     rate: float = 0.0
     want: Host | None = None  # destination whose soundness is awaited
     want_at: float = 0.0
-    hold_mark: int = -1  # the old owner is listed until all have acked this
+    held: Host | None = None  # the old owner, listed until all have acked the mark or the hold ends
+    hold_mark: int = 0
     hold_end: float = 0.0
     rates: dict[int, float] = field(default_factory=dict)
 
@@ -94,18 +94,13 @@
         return self.rate / (1 + len(self.helpers))
 
 
-@dataclass(eq=False)
-class Proxy:
-    sent: deque[float] = field(default_factory=deque)
-    unacked: deque[tuple[int, float]] = field(default_factory=deque)
-
-
 class Assigner:
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.set, self.seed, self.draws = settings, seed, 0
         self.hosts: dict[int, Host] = {}
         self.slices: dict[int, Slice] = {}
-        self.proxies: dict[int, Proxy] = {}
+        self.proxies: dict[int, deque[tuple[int, float]]] = {}  # marks not acked, and their messages' lines
+        self.sent: deque[float] = deque()  # when messages went out: each goes to all joined proxies
         self.out: list[api.Action] = []
         self.now, self.mark, self.level, self.level_at = 0.0, 0, 1.0, 0.0
         self.fresh = False  # a list newer than the saved one has come
@@ -154,7 +149,7 @@
                     if e.slice in self.slices:
                         self.slices[e.slice].lines[self.host(e.host)] = e.weight
                 case api.ProxyJoined():
-                    self.proxies[e.proxy] = Proxy()
+                    self.proxies[e.proxy] = deque()
                 case api.ProxyLeft():
                     self.proxies.pop(e.proxy, None)
                 case api.Due(handle=0):
@@ -183,7 +178,6 @@
             self.out.append(api.Note("list call failed"))
             self.out.append(api.Remind(self.set.ask_within * (0.05 + 0.1 * self.chance()), 1))
             return
-        self.fresh = self.fresh or e.form is not api.ListForm.SAVED
         if e.form is not api.ListForm.CHANGES:
             here = {entry.host for entry in e.entries}
             for h in self.hosts.values():
@@ -191,24 +185,27 @@
                     h.listed, self.urgent = False, True
         for entry in e.entries:
             h = self.host(entry.host)
+            if entry.state == "removed":  # what was last listed of it stands: it may be draining
+                self.urgent, h.listed = self.urgent or h.listed, False
+                continue
+            if not self.fresh:
+                h.shown = self.now
             if entry.online_since > h.since:
                 # A new process: what was heard of the old one says nothing of it.
                 if h.since > -math.inf or entry.online_since > self.now - self.set.cold:
                     h.told = self.now
-                    h.failed_at, h.good, h.bad, h.run = -math.inf, 0.0, 0.0, 0
+                    h.failed_at, h.good, h.bad, h.run, h.shown = -math.inf, 0.0, 0.0, 0, -math.inf
                 h.since = entry.online_since
-            was = h.listed and h.entry.state == "up"
-            h.entry, h.listed = entry, entry.state != "removed"
-            if was and entry.state != "up":
-                self.urgent = True
+            self.urgent = self.urgent or entry.state != "up"
+            h.entry, h.listed = entry, True
+        self.fresh = self.fresh or e.form is not api.ListForm.SAVED
 
     def heard(self, e: api.HostSums) -> None:
         h = self.host(e.host)
         if self.now - h.told < self.set.report_every + self.set.transit:
             return  # sums from before a restart
-        keep = 0.5 ** (e.span / max(1.0, self.set.report_every))
         good = e.tries - e.errored
-        h.good, h.bad, h.heard = h.good * keep + good, h.bad * keep + e.errored, self.now
+        h.good, h.bad = h.good + good, h.bad + e.errored
         if good > 0 and e.latency > 0:
             # Speed shows only while answers don't wait: a crowd says nothing of it (nor after a restart), a
             # few answers little, a cold server only ill. A strained one is slow if the fleet is calm.
@@ -222,18 +219,16 @@
                 h.floor += (h.latency - h.floor) * (0.0 if self.cold(h) else 0.3)
             elif calm or self.median < CROWDED / 2:
                 h.floor += (h.latency - h.floor) * (0.05 if calm else 0.02)
-        self.fade()
         self.done += good
         h.run = 0 if good else h.run + e.errored
-        h.good_at = self.now if good else h.good_at
+        if good:
+            h.good_at = h.shown = self.now
         # A run of failures is a crash, a hang or a crowd. A crash fails a probe, a hang gives no good answer
         # for windows on end, a crowded server goes on answering some: it sheds, but is not emptied, or its
         # slices would crowd the next one.
         if h.run >= RUN:
-            if self.now - h.good_at > SILENT * self.window:
-                self.failing(h)
-            else:
-                self.probe(h)
+            hung = self.now - h.good_at > SILENT * self.window
+            (self.failing if hung else self.probe)(h)
 
     def probe(self, h: Host) -> None:
         if self.set.may_probe and not h.probing:
@@ -243,7 +238,9 @@
     def probed(self, e: api.ProbeDone) -> None:
         h = self.host(e.host)
         h.probing = False
-        if e.end in (api.ProbeEnd.UNREACHABLE, api.ProbeEnd.RESET, api.ProbeEnd.TIMEOUT) and h.run >= RUN:
+        if e.end is api.ProbeEnd.OK:
+            h.shown = self.now
+        elif e.end is not api.ProbeEnd.FULL and (h.run >= RUN or not h.listed):
             self.failing(h)
 
     def failing(self, h: Host) -> None:
@@ -252,13 +249,7 @@
             self.urgent = True
         h.failed_at = self.now
 
-    def fade(self) -> None:
-        """Counts of what the fleet was asked and answered, over a few report periods."""
-        keep = 0.5 ** ((self.now - self.faded_at) / (PEAK_SPAN * self.set.report_every))
-        self.done, self.asked, self.faded_at = self.done * keep, self.asked * keep, self.now
-
     def demand(self, e: api.SliceSums) -> None:
-        self.fade()
         self.asked += e.invocations
         if (s := self.slices.get(e.slice)) and e.span > 0:
             # Clients ask again for what went unanswered: about half of that is repeats, which end with it.
@@ -268,15 +259,22 @@
             s.rate = sum(s.rates.values())
 
     def acked(self, e: api.Acked) -> None:
-        if p := self.proxies.get(e.proxy):
-            while p.unacked and (e.number - p.unacked[0][0]) % WRAP < WRAP // 2:
-                p.unacked.popleft()
+        out = self.proxies.get(e.proxy)
+        while out and (e.number - out[0][0]) % WRAP < WRAP // 2:
+            out.popleft()
 
     # ---- judging -------------------------------------------------------------------------------------
 
     def leaving(self, h: Host) -> bool:
         """Told to be gone or draining: nothing may go there."""
-        return h.entry.state != "up" or (not h.listed and self.fresh)
+        return h.entry.state != "up" or (not h.listed and self.fresh and not self.dropped(h))
+
+    def dropped(self, h: Host) -> bool:
+        """Gone from the list, but showing life, where only a drain binds: the list is wrong, not the server.
+        Covers lists that blink, empty or go back in time; a dying server keeps work for a probe longer."""
+        late = max(CLEAR, SILENT * self.window)
+        alive = h.shown > h.failed_at and self.now - h.shown < late
+        return self.set.drain_binds_alone and not h.listed and alive
 
     def cold(self, h: Host) -> bool:
         return self.now - h.since < self.set.cold
@@ -305,8 +303,12 @@
         self.typical = {kind: middle([f for f, k in floors if k == kind]) for _, kind in floors}
         known = [s.rate for s in self.slices.values() if s.rates]
         usual = sum(known) / len(known) if known else 1.0
+        # Counts fade with time, whichever zones they came from; an emptied server's strain too.
+        recent = 0.5 ** ((self.now - self.faded_at) / self.set.report_every)
+        keep = 0.5 ** ((self.now - self.faded_at) / (PEAK_SPAN * self.set.report_every))
+        self.done, self.asked, self.faded_at = self.done * keep, self.asked * keep, self.now
         for h in self.hosts.values():
-            h.load = 0.0
+            h.load, h.good, h.bad = 0.0, h.good * recent, h.bad * recent
             if self.now - h.taken_at > (self.wait if self.cold(h) else self.window):
                 h.taken, h.taken_at = 0, self.now
         total = 0.0
@@ -315,7 +317,13 @@
             total += s.rate
             for h in ([s.owner] if s.owner else []) + s.helpers:
                 h.load += s.part
-        listed = [h for h in self.hosts.values() if h.listed and h.entry.state == "up"]
+        listed = [h for h in self.hosts.values() if (h.listed or self.dropped(h)) and h.entry.state == "up"]
+        # A newcomer shows life before it counts: a list may name servers that do not exist.
+        for h in listed:
+            if h.shown == -math.inf or (not h.listed and self.now - h.shown > self.window):
+                self.probe(h)
+        if self.set.may_probe:
+            listed = [h for h in listed if h.load or h.shown > -math.inf] or listed
         # How often a sum comes anew: the period, or longer where the lines of one don't fit the intake.
         lines = len(listed) * self.set.zones + len(self.slices) * len(self.table)
         self.window = max(self.set.report_every, lines * 1000.0 / self.set.reports_per_s)
@@ -328,7 +336,6 @@
         self.strained = max(CROWDED, WORSE * self.median)
         # A cold server's part is counted against the most that the fleet was seen to answer: in an overload
         # a fair part of what is asked would push it over.
-        self.fade()
         unit = math.log(2.0) * 1000.0 / (PEAK_SPAN * self.set.report_every)
         if space and self.now - self.born > 2 * PEAK_SPAN * self.set.report_every:  # else too little is known
             self.peak = max(self.peak if self.peak < math.inf else 0.0, self.done * unit / space)
@@ -356,46 +363,44 @@
     def may_send(self, urgent: bool) -> bool:
         part = 1.0 if urgent else SPARE
         most = int(self.set.messages_most * part) - (1 if urgent else 0)
-        for p in self.proxies.values():
-            while p.sent and p.sent[0] <= self.now - self.set.messages_span - 1.0:
-                p.sent.popleft()
-            if self.set.messages_most and len(p.sent) >= most:
-                return False
-        waiting = sum(cost for p in self.proxies.values() for _, cost in p.unacked)
+        while self.sent and self.sent[0] <= self.now - self.set.messages_span - 1.0:
+            self.sent.popleft()
+        if self.set.messages_most and len(self.sent) >= most:
+            return False
+        waiting = sum(cost for out in self.proxies.values() for _, cost in out)
         return waiting < self.set.queue_most * 0.5 * (1.5 if urgent else 1.0)
 
-    def line(self, s: Slice, h: Host, weight: float) -> None:
-        if s.lines.get(h, 0.0) != weight:
-            self.out.append(api.SetLine(s.id, h.id, weight))
-            s.lines[h] = weight
-            if not weight:
-                del s.lines[h]
+    def write(self, s: Slice) -> None:
+        """Write what changed of the slice's lines, the new ones first."""
+        wanted = [h for h in (s.owner, *s.helpers, s.held) if h]
+        for h in wanted:
+            if h not in s.lines:
+                self.out.append(api.SetLine(s.id, h.id, 1.0))
+                s.lines[h] = 1.0
+        for h in [h for h in s.lines if h not in wanted]:
+            self.out.append(api.SetLine(s.id, h.id, 0.0))
+            del s.lines[h]
 
     def give(self, s: Slice, h: Host, hold: bool) -> None:
-        """Make `h` the owner: the new line first, then the old ones go, or stay until acks."""
-        old, s.owner, s.want = s.owner, h, None
-        self.line(s, h, 1.0)
-        for other in [x for x in s.lines if x is not h]:
-            if not (hold and other is old) and other not in s.helpers:
-                self.line(s, other, 0.0)
-        if old:
-            old.load -= s.part
+        """Make `h` the owner; the old one goes, or stays until acks."""
+        if s.owner:
+            s.owner.load -= s.part
         h.load += s.part
         h.taken += 1
-        s.hold_mark = (self.mark + 1) % WRAP if hold else -1
-        s.hold_end = self.now + HOLD
+        s.held, s.owner, s.want = s.owner if hold else None, h, None
+        s.helpers = [x for x in s.helpers if x is not h]
+        s.hold_mark, s.hold_end = (self.mark + 1) % WRAP, self.now + HOLD
+        self.write(s)
 
     def plan(self, turn: bool) -> None:
         before = len(self.out)
         if not self.may_send(True):
             return
-        self.survey()
         for s in self.slices.values():
             if s.owner is None and s.lines:
                 s.owner = max(s.lines, key=lambda h: (s.lines[h], self.score(s, h)))
                 s.helpers = [h for h in s.lines if h is not s.owner]  # or an old owner: dropped if not needed
-                for h in s.lines:
-                    h.load += s.part
+        self.survey()
         self.urgent = False
         self.leave()
         if turn and self.may_send(False):
@@ -412,9 +417,9 @@
         if orders:
             self.mark = (self.mark + 1) % WRAP
             self.out.append(api.Mark(self.mark))
-            for p in self.proxies.values():
-                p.sent.append(self.now)
-                p.unacked.append((self.mark, self.set.message_head + orders + 2))
+            self.sent.append(self.now)
+            for out in self.proxies.values():
+                out.append((self.mark, self.set.message_head + orders + 2))
 
     def leave(self) -> None:
         """Slices without an owner, or whose owner is dead or draining, go at once, the busiest first."""
@@ -437,21 +442,13 @@
                 continue  # the saved list may be older than this line
             sound = [h for h in s.helpers if h in self.pool]
             if to := max(sound, key=lambda h: self.score(s, h)) if sound else self.best(s, s.part, must=True):
-                if to in s.helpers:
-                    s.helpers.remove(to)
                 self.give(s, to, hold=False)
             elif s.owner and self.leaving(s.owner):  # nowhere to go: the drain is kept
-                self.line(s, s.owner, 0.0)
                 s.owner = None
         for s in self.slices.values():
-            for h in [h for h in s.lines if h is not s.owner and h not in self.pool]:
-                if self.leaving(h) or h in s.helpers:
-                    self.drop(s, h)
-
-    def drop(self, s: Slice, h: Host) -> None:
-        self.line(s, h, 0.0)
-        if h in s.helpers:
-            s.helpers.remove(h)
+            s.helpers = [h for h in s.helpers if h in self.pool]
+            s.held = s.held if s.held in self.pool else None
+            self.write(s)
 
     def admit(self) -> None:
         """Let in less while the whole fleet is strained: what waits too long is worth nothing."""
@@ -469,13 +466,12 @@
 
     def release(self) -> None:
         """Old owners go once every proxy has acked, or the hold ends."""
-        out = [m for p in self.proxies.values() for m, _ in p.unacked]
+        out = {m for marks in self.proxies.values() for m, _ in marks}
         for s in self.slices.values():
-            if s.hold_mark >= 0:
-                if not any((s.hold_mark - m) % WRAP < WRAP // 2 for m in out) or self.now >= s.hold_end:
-                    s.hold_mark = -1
-                    for h in [h for h in s.lines if h is not s.owner and h not in s.helpers]:
-                        self.line(s, h, 0.0)
+            waits = s.held and any((s.hold_mark - m) % WRAP < WRAP // 2 for m in out)
+            if s.held and (not waits or self.now >= s.hold_end):
+                s.held = None
+                self.write(s)
 
     def move(self) -> None:
         """Moves off live owners: off crowded ones, or won by a better score; gated and paced."""
@@ -487,7 +483,7 @@
             if keep == 1.0:
                 continue
             goal = h.load * keep
-            mine = [s for s in self.slices.values() if s.hold_mark < 0 and (s.owner is h or h in s.helpers)]
+            mine = [s for s in self.slices.values() if not s.held and (s.owner is h or h in s.helpers)]
             for s in sorted(mine, key=lambda s: (-s.part, s.id)):
                 if h.load - s.part * 0.5 <= goal:
                     continue
@@ -506,18 +502,19 @@
                         to.load += less
                         to.taken += 1
                         s.helpers.append(to)
-                        self.line(s, to, 1.0)
                     elif s.owner is h:
                         self.give(s, to, hold=True)
                     else:
                         h.load -= s.part
-                        self.drop(s, h)
+                        s.helpers.remove(h)
+                    self.write(s)
         for s in self.slices.values():
             low = HOT / 2 * self.capacity(s.owner) * self.mean if s.owner else 0.0
             if s.helpers and s.rate / len(s.helpers) < low:
-                self.drop(s, min(s.helpers, key=lambda h: self.score(s, h)))
+                s.helpers.remove(min(s.helpers, key=lambda h: self.score(s, h)))
+                self.write(s)
         for s in self.slices.values():
-            if s.owner and s.hold_mark < 0 and (to := self.best(s, s.part, must=False)):
+            if s.owner and not s.held and (to := self.best(s, s.part, must=False)):
                 if self.score(s, to) > self.score(s, s.owner) and self.passes(s, to):
                     self.give(s, to, hold=True)
 
@@ -525,7 +522,7 @@
         """The gate: the destination was heard sound, or a window has passed without a run of failures."""
         if s.want is not to:
             s.want, s.want_at = to, self.now
-            if self.now - to.heard > self.set.report_every:
+            if self.now - to.shown > self.set.report_every:
                 self.probe(to)
         known = to.run == 0 and self.now - to.good_at <= 2 * self.window
         return to.run < RUN and to.taken < FEW and (known or self.now - s.want_at >= self.set.report_every)
--- a/corallanding/interface.py
+++ b/corallanding/interface.py
@@ -63,6 +63,7 @@
     ejects: int = 0
     bare_most: float = 5000.0
     drain_grace: float = 3000.0
+    drain_binds_alone: bool = False
     cold: float = 10000.0
     cold_from: float = 0.2
     fall: float = 3000.0
--- a/corallanding/simhost/codec.py
+++ b/corallanding/simhost/codec.py
@@ -144,6 +144,7 @@
         pick=f.get(fam + "lbMethod", usual.pick),
         ejects=count(f, fam + "ejects"),
         bare_most=ms(f, fam + "blackhole", usual.bare_most),
+        drain_binds_alone=flag(f, "rules.drainBindsAlone"),
         drain_grace=ms(f, "rules.drainGrace", usual.drain_grace),
         cold=ms(f, "rules.cold", usual.cold),
         cold_from=number(f, "rules.coldFrom", usual.cold_from),
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -28,6 +28,8 @@
     def __init__(self, **over: object) -> None:
         self.assigner = Assigner(api.Settings(**{**SETTINGS, **over}), seed=7)  # type: ignore[arg-type]
         self.now, self.lines, self.due = self.START, [], []
+        self.probed: list[int] = []
+        self.dead: set[int] = set()  # servers that fail their probes
 
     def say(self, text: str) -> None:
         self.lines.append(f"# {text}")
@@ -36,9 +38,11 @@
         for a in self.assigner.step(self.now, events):
             if isinstance(a, api.Remind):
                 self.due.append((self.now + a.after, a.handle))
-            else:
-                shown = ", ".join(f"{k}={getattr(v, 'name', v)}" for k, v in vars(a).items())
-                self.lines.append(f"{self.now / 1000 - 100:8.3f} s  {type(a).__name__}({shown})")
+                continue
+            if isinstance(a, api.Probe):
+                self.probed.append(a.host)
+            shown = ", ".join(f"{k}={getattr(v, 'name', v)}" for k, v in vars(a).items())
+            self.lines.append(f"{self.now / 1000 - 100:8.3f} s  {type(a).__name__}({shown})")
 
     def start(
         self, hosts: list[api.HostEntry], owners: dict[int, int] | None = None, proxies: int = 2
@@ -53,7 +57,7 @@
     def run(
         self, seconds: float, each: Callable[[], list[api.Event]] | None = None, ack: bool = True
     ) -> None:
-        """Timers fall due; proxies ack what they were sent at the next; `each` speaks once a second."""
+        """Timers fall due; proxies ack and probes end at the next; `each` speaks once a second."""
         end, beat = self.now + seconds * 1000, self.now + 1000
         while True:
             at = min([t for t, _ in self.due] + [beat, end])
@@ -65,6 +69,9 @@
             self.due = [(t, h) for t, h in self.due if t > at]
             if ack:
                 events += [api.Acked(p, self.assigner.mark) for p in self.assigner.proxies]
+            end_of = {True: api.ProbeEnd.UNREACHABLE, False: api.ProbeEnd.OK}
+            events += [api.ProbeDone(h, end_of[h in self.dead]) for h in self.probed]
+            self.probed = []
             if at >= beat:
                 beat += 1000
                 events += each() if each else []
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -67,6 +67,7 @@
 def test_death() -> None:
     rig = calm()
     rig.say("13 answers nothing more and fails its probe: a crash")
+    rig.dead = {13}
     rig.step(*sums({11: 20, 12: 20, 14: 20}, {13: 20}))
     rig.step(api.ProbeDone(13, api.ProbeEnd.UNREACHABLE))
     rig.say("14 answers nothing, its probes do: a hang, once it is silent for two windows")
@@ -209,3 +210,15 @@
     listed(rig, up(12))
     rig.run(2)
     rig.check("no_server")
+
+
+def test_wrong_list() -> None:
+    rig = calm(drain_binds_alone=True)
+    rig.say("12 and 13 are gone from the list; 12 answers and stays, 13 fails its probe and is emptied")
+    rig.dead = {13, 15}
+    listed(rig, up(12, "removed"), up(13, "removed"))
+    rig.run(4, lambda: sums({11: 20, 12: 20, 14: 20}))
+    rig.say("15 is listed but does not exist: it fails its probes and is given nothing when 14 drains")
+    listed(rig, up(15), up(14, "draining"))
+    rig.run(2, lambda: sums({11: 20, 12: 20}))
+    rig.check("wrong_list")
