New servers win slices by plain rendezvous off owners far over their part

The sitting owner's preference kept every slice until its box was strained, and sums came anew only every 2.7 s. Told from a jam: the idle boxes passed their probes and the median strain was 0.

Change: a server that is cold or holds nothing wins a slice without the preference while its owner holds over 1.5 fair parts, strained or not; gate, hold and ramp stay. Harm: a few moves more on releases.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -180,15 +180,14 @@
             return
         if e.form is not api.ListForm.CHANGES:
             here = {entry.host for entry in e.entries}
-            for h in self.hosts.values():
-                if h.id not in here and h.listed:
-                    h.listed, self.urgent = False, True
+            for h in [h for h in self.hosts.values() if h.listed and h.id not in here]:
+                h.listed, self.urgent = False, True
         for entry in e.entries:
             h = self.host(entry.host)
             if entry.state == "removed":  # what was last listed of it stands: it may be draining
                 self.urgent, h.listed = self.urgent or h.listed, False
                 continue
-            if not self.fresh:
+            if not self.fresh and e.form is not api.ListForm.CHANGES:
                 h.shown = self.now
             if entry.online_since > h.since:
                 # A new process: what was heard of the old one says nothing of it.
@@ -288,8 +287,7 @@
         if s.id not in h.marks:
             raw = hashlib.blake2b(f"{s.id}:{h.id}".encode(), digest_size=8).digest()
             h.marks[s.id] = -1.0 / math.log((int.from_bytes(raw, "big") + 0.5) / 2.0**64)
-        mine = SITTING * self.set.slices if s.owner is h else 1.0
-        return h.entry.weight * h.marks[s.id] * mine
+        return h.entry.weight * h.marks[s.id]
 
     def capacity(self, h: Host) -> float:
         chill = CHILLED * self.set.fall_multiple if self.set.warm_keys and self.cold(h) else 1.0
@@ -508,14 +506,16 @@
                         h.load -= s.part
                         s.helpers.remove(h)
                     self.write(s)
-        for s in self.slices.values():
-            low = HOT / 2 * self.capacity(s.owner) * self.mean if s.owner else 0.0
-            if s.helpers and s.rate / len(s.helpers) < low:
+        for s, owner in [(s, s.owner) for s in self.slices.values() if s.owner]:
+            if s.helpers and s.rate / len(s.helpers) < HOT / 2 * self.capacity(owner) * self.mean:
                 s.helpers.remove(min(s.helpers, key=lambda h: self.score(s, h)))
                 self.write(s)
-        for s in self.slices.values():
-            if s.owner and not s.held and (to := self.best(s, s.part, must=False)):
-                if self.score(s, to) > self.score(s, s.owner) and self.passes(s, to):
+            if not s.held and (to := self.best(s, s.part, must=False)):
+                # A sitting owner is preferred, but not to a new server once it holds far over its part: what
+                # a fleet grew by would stand idle until the old ones drown. Costs a release a few moves more.
+                new = (self.cold(to) or not to.load) and self.used(owner) > SHED
+                sitting = 1.0 if new else SITTING * self.set.slices
+                if self.score(s, to) > self.score(s, owner) * sitting and self.passes(s, to):
                     self.give(s, to, hold=True)
 
     def passes(self, s: Slice, to: Host) -> bool:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -222,3 +222,13 @@
     listed(rig, up(15), up(14, "draining"))
     rig.run(2, lambda: sums({11: 20, 12: 20}))
     rig.check("wrong_list")
+
+
+def test_growth_is_not_left_idle() -> None:
+    rig = Rig()
+    rig.start(HOSTS[:2], {s: 11 if s < 6 else 12 for s in range(8)})
+    rig.run(3, lambda: sums({11: 60, 12: 20}))
+    rig.say("13 and 14 come; 11 holds over 1.5 parts and is calm: they win slices off it by plain rendezvous")
+    listed(rig, up(13), up(14))
+    rig.run(4, lambda: sums({11: 60, 12: 20, 13: 20, 14: 20}))
+    rig.check("growth")
