An emptied server returns on a passed probe; late time-outs do not keep it out

Six of nineteen boxes stood idle while the rest jammed (median strain 1.7).

Change: once a server holds nothing, sums renew no mark; it is probed each turn and counts again after 6 s and a passed probe, which also ends its run. Covers crashes, hangs, cuts and servers bad for one steward alike. Harm: a hang that answers probes gets a few slices back every 6 s, as before.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -108,9 +108,8 @@
         self.median = 0.0  # strain of the median server
         self.usual = 0.0  # speed (as `Host.floor`) of the median server, and of each kind's
         self.typical: dict[int, float] = {}
-        self.done = self.asked = 0.0
+        self.done = self.asked = self.faded_at = 0.0
         self.peak = self.born = math.inf
-        self.faded_at = -math.inf
         self.window = self.wait = settings.report_every
         self.turn = max(settings.report_every / 2, settings.period)
         if settings.messages_most:
@@ -224,8 +223,8 @@
             h.good_at = h.shown = self.now
         # A run of failures is a crash, a hang or a crowd. A crash fails a probe, a hang gives no good answer
         # for windows on end, a crowded server goes on answering some: it sheds, but is not emptied, or its
-        # slices would crowd the next one.
-        if h.run >= RUN:
+        # slices would crowd the next one. What it was sent before it was emptied tells no more.
+        if h.run >= RUN and h.load:
             hung = self.now - h.good_at > SILENT * self.window
             (self.failing if hung else self.probe)(h)
 
@@ -238,7 +237,7 @@
         h = self.host(e.host)
         h.probing = False
         if e.end is api.ProbeEnd.OK:
-            h.shown = self.now
+            h.shown, h.run = self.now, h.run if h.load else 0
         elif e.end is not api.ProbeEnd.FULL and (h.run >= RUN or not h.listed):
             self.failing(h)
 
@@ -315,19 +314,20 @@
             total += s.rate
             for h in ([s.owner] if s.owner else []) + s.helpers:
                 h.load += s.part
-        listed = [h for h in self.hosts.values() if (h.listed or self.dropped(h)) and h.entry.state == "up"]
-        # A newcomer shows life before it counts: a list may name servers that do not exist.
-        for h in listed:
-            if h.shown == -math.inf or (not h.listed and self.now - h.shown > self.window):
+        here = [h for h in self.hosts.values() if (h.listed or self.dropped(h)) and h.entry.state == "up"]
+        # A newcomer, or one that failed, shows life before it counts: a list may name what does not exist.
+        for h in here:
+            if h.shown <= h.failed_at or (not h.listed and self.now - h.shown > self.window):
                 self.probe(h)
+        listed = here
         if self.set.may_probe:
-            listed = [h for h in listed if h.load or h.shown > -math.inf] or listed
+            listed = [h for h in here if h.load or h.shown > h.failed_at] or here
         # How often a sum comes anew: the period, or longer where the lines of one don't fit the intake.
         lines = len(listed) * self.set.zones + len(self.slices) * len(self.table)
         self.window = max(self.set.report_every, lines * 1000.0 / self.set.reports_per_s)
         self.wait = PAUSE * self.window + 2 * self.set.transit  # until sums tell of a change
         self.pool = [h for h in listed if self.now - h.failed_at > CLEAR]
-        if len(self.pool) * 2 < len(listed):  # most failing at once: the path or the work, not the servers
+        if len(self.pool) * 2 < len(here):  # most failing at once: the path or the work, not the servers
             self.pool = listed
         space = sum(self.capacity(h) for h in listed)
         self.median = middle([h.strain(self.tight) for h in listed])
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -232,3 +232,17 @@
     listed(rig, up(13), up(14))
     rig.run(4, lambda: sums({11: 60, 12: 20, 13: 20, 14: 20}))
     rig.check("growth")
+
+
+def test_emptied_server_returns_on_a_probe() -> None:
+    rig = calm()
+    rig.dead = {13}
+    rig.step(*sums({11: 20, 12: 20, 14: 20}, {13: 20}))
+    rig.run(1.5, all_well)
+    rig.say("13 was emptied; what it was sent before goes on timing out; it answers a probe after 6 s")
+    rig.run(3, lambda: sums({11: 20, 12: 20, 14: 20}, {13: 20}))
+    rig.dead = set()
+    rig.run(8, lambda: sums({11: 20, 12: 20, 14: 20}))
+    rig.say("11 drains: 13 takes its share again")
+    listed(rig, up(11, "draining"))
+    rig.check("returned")
