Bound the lines of one reply by the room in the channel's queue

The queue was looked at before a reply, not what the reply itself would add.

Change: lines that would take the queue over 0.9 of its limit (half for ordinary turns), heads included, wait for acks; tables are compared with what was written each turn, so nothing is lost. Harm: the last slices of a large loss leave one channel time later.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -30,7 +30,8 @@
 FULL = 0.6  # median strain of the fleet above which less is let in, where the site admits by share
 EASE = 0.45  # and below which more is
 LEAST = 0.1  # the least share that is let in
-SPARE = 0.7  # of the message and queue caps that ordinary turns may use; the rest is for deaths and drains
+SPARE = 0.7  # of the message cap that ordinary turns may use; the rest is for deaths and drains
+FILL = 0.9  # of the queue limit, heads included, that deaths and drains may fill; ordinary turns half
 PAUSE = 1.5  # windows of sums before a server that shed is judged again
 FEW = 3  # slices that a server is given in a window: at most for a cold one, else off live owners
 CHILLED = 0.25  # times the fall multiple: part of its share that a cold server takes where keys are cached
@@ -105,9 +106,9 @@
         self.now, self.mark, self.level, self.level_at = 0.0, 0, 1.0, 0.0
         self.fresh = False  # a list newer than the saved one has come
         self.urgent, self.levels_due = False, True
+        self.room, self.orders = 0.0, 0  # lines that may still go out in this step, and those that did
         self.median = 0.0  # strain of the median server
-        self.usual = 0.0  # speed (as `Host.floor`) of the median server, and of each kind's
-        self.typical: dict[int, float] = {}
+        self.usual, self.typical = 0.0, dict[int, float]()  # speed of the median server, and of each kind's
         self.done = self.asked = self.faded_at = 0.0
         self.peak = self.born = math.inf
         self.window = self.wait = settings.report_every
@@ -160,10 +161,6 @@
             self.plan(turn)
         return self.out
 
-    def chance(self) -> float:
-        self.draws += 1
-        return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
-
     def host(self, id: int) -> Host:
         if id not in self.hosts:
             self.hosts[id] = Host(id, api.HostEntry(id), listed=False)
@@ -175,7 +172,9 @@
         if e.form is api.ListForm.FAILED:
             # Ask again soon, spread by chance: the ask rule counts silence as knowledge.
             self.out.append(api.Note("list call failed"))
-            self.out.append(api.Remind(self.set.ask_within * (0.05 + 0.1 * self.chance()), 1))
+            self.draws += 1
+            chance = zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
+            self.out.append(api.Remind(self.set.ask_within * (0.05 + 0.1 * chance), 1))
             return
         if e.form is not api.ListForm.CHANGES:
             here = {entry.host for entry in e.entries}
@@ -208,9 +207,8 @@
             # Speed shows only while answers don't wait: a crowd says nothing of it (nor after a restart), a
             # few answers little, a cold server only ill. A strained one is slow if the fleet is calm.
             prior = self.typical.get(h.entry.kind) or self.usual or e.latency
-            part = good / (good + 6.0)
             h.latency = h.latency or prior
-            h.latency += (e.latency - h.latency) * part
+            h.latency += (e.latency - h.latency) * good / (good + 6.0)
             calm = h.strain(self.tight) < CROWDED / 2
             h.floor = h.floor or prior
             if h.latency < h.floor:
@@ -366,18 +364,20 @@
         if self.set.messages_most and len(self.sent) >= most:
             return False
         waiting = sum(cost for out in self.proxies.values() for _, cost in out)
-        return waiting < self.set.queue_most * 0.5 * (1.5 if urgent else 1.0)
+        free = self.set.queue_most * (FILL if urgent else 0.5) - waiting
+        self.room = free / max(1, len(self.proxies)) - self.set.message_head - 2.0 - self.orders
+        return self.room > self.set.message_head
 
     def write(self, s: Slice) -> None:
         """Write what changed of the slice's lines, the new ones first."""
         wanted = [h for h in (s.owner, *s.helpers, s.held) if h]
-        for h in wanted:
-            if h not in s.lines:
-                self.out.append(api.SetLine(s.id, h.id, 1.0))
-                s.lines[h] = 1.0
-        for h in [h for h in s.lines if h not in wanted]:
-            self.out.append(api.SetLine(s.id, h.id, 0.0))
-            del s.lines[h]
+        new, gone = [h for h in wanted if h not in s.lines], [h for h in s.lines if h not in wanted]
+        if len(new) + len(gone) > self.room:
+            self.urgent = True  # one reply to a hundred proxies can fill the queue: the rest in a later one
+            return
+        self.room, self.orders = self.room - len(new) - len(gone), self.orders + len(new) + len(gone)
+        self.out += [api.SetLine(s.id, h.id, 1.0) for h in new] + [api.SetLine(s.id, h.id, 0.0) for h in gone]
+        s.lines = dict.fromkeys(wanted, 1.0)
 
     def give(self, s: Slice, h: Host, hold: bool) -> None:
         """Make `h` the owner; the old one goes, or stays until acks."""
@@ -391,7 +391,7 @@
         self.write(s)
 
     def plan(self, turn: bool) -> None:
-        before = len(self.out)
+        self.orders = 0
         if not self.may_send(True):
             return
         for s in self.slices.values():
@@ -405,19 +405,18 @@
             self.release()
             self.move()
             self.admit()
-        orders = sum(isinstance(a, api.SetLine) for a in self.out[before:])
         if self.levels_due and self.slices and self.proxies:
             self.levels_due = False
             # Again only on proof that the first try never ran: that is safe for every operation. What timed
             # out is late anyhow, and its repeat would feed a jam.
             self.out.append(api.Level(api.ALL_TABLES, 0, self.level, api.Retry.PROVEN_UNRUN))
-            orders += 1
-        if orders:
+            self.orders += 1
+        if self.orders:
             self.mark = (self.mark + 1) % WRAP
             self.out.append(api.Mark(self.mark))
             self.sent.append(self.now)
             for out in self.proxies.values():
-                out.append((self.mark, self.set.message_head + orders + 2))
+                out.append((self.mark, self.set.message_head + self.orders + 2))
 
     def leave(self) -> None:
         """Slices without an owner, or whose owner is dead or draining, go at once, the busiest first."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -246,3 +246,13 @@
     rig.say("11 drains: 13 takes its share again")
     listed(rig, up(11, "draining"))
     rig.check("returned")
+
+
+def test_one_reply_does_not_fill_the_queue() -> None:
+    rig = Rig(queue_most=52.0)
+    rig.start(HOSTS, {s: 12 + s % 2 for s in range(8)})
+    rig.run(3, all_well)
+    rig.say("12 and 13 drain, 16 lines to each proxy; the queue has room for 13: the rest waits for acks")
+    listed(rig, up(12, "draining"), up(13, "draining"))
+    rig.run(1, all_well)
+    rig.check("bounded")
