Shut out by one line each the draining servers whose lines do not fit one reply

The tail went out in small messages and relays sent to drained workers 2.0 s after. Told from a lost order: acks came in order; order of writing alone (drains first) did not mend it.

Change: when the lines of leaving servers do not fit one reply, each such server is cordoned (one line), new owners are written, the old lines go in ordinary turns, and a return lifts the cordon. Not on the ordinary path. Covers any large loss that the list tells. Harm: a slice is bare until its new line comes, within the rule.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -28,7 +28,6 @@
 RUN = 4  # tries in a row without an answer that make a server suspect
 SILENT = 2.0  # windows of sums without any answer after which a suspect is failing
 FULL = 0.6  # median strain of the fleet above which less is let in, where the site admits by share
-EASE = 0.45  # and below which more is
 LEAST = 0.1  # the least share that is let in
 SPARE = 0.7  # of the message cap that ordinary turns may use; the rest is for deaths and drains
 FILL = 0.9  # of the queue limit, heads included, that deaths and drains may fill; ordinary turns half
@@ -65,6 +64,7 @@
     load: float = 0.0  # invocations a second of the slices that it owns
     marks: dict[int, float] = field(default_factory=dict)  # -1/ln(hash) by slice
     probing: bool = False
+    cordoned: bool = False
     taken: int = 0  # slices given in the present window
     taken_at: float = -math.inf
     shed_at: float = -math.inf  # when a slice last left it for being crowded
@@ -90,8 +90,7 @@
     rates: dict[int, float] = field(default_factory=dict)
 
     @property
-    def part(self) -> float:
-        """What each of its servers gets."""
+    def part(self) -> float:  # what each of its servers gets
         return self.rate / (1 + len(self.helpers))
 
 
@@ -107,8 +106,8 @@
         self.fresh = False  # a list newer than the saved one has come
         self.urgent, self.levels_due = False, True
         self.room, self.orders = 0.0, 0  # lines that may still go out in this step, and those that did
-        self.median = 0.0  # strain of the median server
-        self.usual, self.typical = 0.0, dict[int, float]()  # speed of the median server, and of each kind's
+        self.median = self.usual = 0.0  # strain and speed (as `Host.floor`) of the median server
+        self.typical: dict[int, float] = {}  # speed of each kind's median server
         self.done = self.asked = self.faded_at = 0.0
         self.peak = self.born = math.inf
         self.window = self.wait = settings.report_every
@@ -118,8 +117,6 @@
         self.table = [o.latency_objective for o in settings.operations]  # a row an operation
         self.tight = min(self.table, default=1000.0)
 
-    # ---- the door ------------------------------------------------------------------------------------
-
     def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         self.now, self.out = now, []
         turn = False
@@ -166,8 +163,6 @@
             self.hosts[id] = Host(id, api.HostEntry(id), listed=False)
         return self.hosts[id]
 
-    # ---- what is heard -------------------------------------------------------------------------------
-
     def listed(self, e: api.Membership) -> None:
         if e.form is api.ListForm.FAILED:
             # Ask again soon, spread by chance: the ask rule counts silence as knowledge.
@@ -219,9 +214,8 @@
         h.run = 0 if good else h.run + e.errored
         if good:
             h.good_at = h.shown = self.now
-        # A run of failures is a crash, a hang or a crowd. A crash fails a probe, a hang gives no good answer
-        # for windows on end, a crowded server goes on answering some: it sheds, but is not emptied, or its
-        # slices would crowd the next one. What it was sent before it was emptied tells no more.
+        # A run of failures is a crash (a probe fails), a hang (no good answer for windows) or a crowd, which
+        # answers some: emptied it would crowd the next. What an emptied one still fails says nothing.
         if h.run >= RUN and h.load:
             hung = self.now - h.good_at > SILENT * self.window
             (self.failing if hung else self.probe)(h)
@@ -259,8 +253,6 @@
         while out and (e.number - out[0][0]) % WRAP < WRAP // 2:
             out.popleft()
 
-    # ---- judging -------------------------------------------------------------------------------------
-
     def leaving(self, h: Host) -> bool:
         """Told to be gone or draining: nothing may go there."""
         return h.entry.state != "up" or (not h.listed and self.fresh and not self.dropped(h))
@@ -317,9 +309,8 @@
         for h in here:
             if h.shown <= h.failed_at or (not h.listed and self.now - h.shown > self.window):
                 self.probe(h)
-        listed = here
-        if self.set.may_probe:
-            listed = [h for h in here if h.load or h.shown > h.failed_at] or here
+        sure = not self.set.may_probe
+        listed = [h for h in here if sure or h.load or h.shown > h.failed_at] or here
         # How often a sum comes anew: the period, or longer where the lines of one don't fit the intake.
         lines = len(listed) * self.set.zones + len(self.slices) * len(self.table)
         self.window = max(self.set.report_every, lines * 1000.0 / self.set.reports_per_s)
@@ -354,11 +345,8 @@
         rest = [h for h in rest if not self.cold(h)] or rest
         return min(rest, key=lambda h: self.used(h, more)) if rest else None
 
-    # ---- orders --------------------------------------------------------------------------------------
-
     def may_send(self, urgent: bool) -> bool:
-        part = 1.0 if urgent else SPARE
-        most = int(self.set.messages_most * part) - (1 if urgent else 0)
+        most = self.set.messages_most - 1 if urgent else int(self.set.messages_most * SPARE)
         while self.sent and self.sent[0] <= self.now - self.set.messages_span - 1.0:
             self.sent.popleft()
         if self.set.messages_most and len(self.sent) >= most:
@@ -368,16 +356,17 @@
         self.room = free / max(1, len(self.proxies)) - self.set.message_head - 2.0 - self.orders
         return self.room > self.set.message_head
 
-    def write(self, s: Slice) -> None:
-        """Write what changed of the slice's lines, the new ones first."""
+    def write(self, s: Slice, all: bool = False) -> None:
+        """Write what changed of the slice's lines, the new ones first; those shut out may wait."""
         wanted = [h for h in (s.owner, *s.helpers, s.held) if h]
         new, gone = [h for h in wanted if h not in s.lines], [h for h in s.lines if h not in wanted]
+        gone = [h for h in gone if all or not h.cordoned]
         if len(new) + len(gone) > self.room:
             self.urgent = True  # one reply to a hundred proxies can fill the queue: the rest in a later one
             return
         self.room, self.orders = self.room - len(new) - len(gone), self.orders + len(new) + len(gone)
         self.out += [api.SetLine(s.id, h.id, 1.0) for h in new] + [api.SetLine(s.id, h.id, 0.0) for h in gone]
-        s.lines = dict.fromkeys(wanted, 1.0)
+        s.lines = dict.fromkeys([h for h in (*s.lines, *new) if h not in gone], 1.0)
 
     def give(self, s: Slice, h: Host, hold: bool) -> None:
         """Make `h` the owner; the old one goes, or stays until acks."""
@@ -395,7 +384,7 @@
         if not self.may_send(True):
             return
         for s in self.slices.values():
-            if s.owner is None and s.lines:
+            if s.owner is None and s.lines:  # given anew
                 s.owner = max(s.lines, key=lambda h: (s.lines[h], self.score(s, h)))
                 s.helpers = [h for h in s.lines if h is not s.owner]  # or an old owner: dropped if not needed
         self.survey()
@@ -407,8 +396,7 @@
             self.admit()
         if self.levels_due and self.slices and self.proxies:
             self.levels_due = False
-            # Again only on proof that the first try never ran: that is safe for every operation. What timed
-            # out is late anyhow, and its repeat would feed a jam.
+            # Again only on proof that the first try never ran: safe for every operation, and feeds no jam.
             self.out.append(api.Level(api.ALL_TABLES, 0, self.level, api.Retry.PROVEN_UNRUN))
             self.orders += 1
         if self.orders:
@@ -420,7 +408,23 @@
 
     def leave(self) -> None:
         """Slices without an owner, or whose owner is dead or draining, go at once, the busiest first."""
-        lost = [s for s in self.slices.values() if s.owner is None or s.owner not in self.pool]
+        # Servers that must go, with more lines than a reply holds (a wave of drains, a hundred proxies), are
+        # shut out by one line each, not one a slice; old lines go in ordinary turns, a return lifts it.
+        going = {h for s in self.slices.values() for h in s.lines if self.leaving(h) and not h.cordoned}
+        much = 2 * sum(not going.isdisjoint(s.lines) for s in self.slices.values()) > self.room
+        for h in self.hosts.values():
+            shut = self.leaving(h) and (h.cordoned or much and h in going)
+            if h.cordoned != shut:
+                h.cordoned, self.orders, self.room = shut, self.orders + 1, self.room - 1
+                self.out.append(api.Cordon(h.id, shut))
+        # What could not be written before goes first.
+        for s in self.slices.values():
+            s.helpers = [h for h in s.helpers if h in self.pool]
+            s.held = s.held if s.held in self.pool else None
+            if s.owner in self.pool:
+                self.write(s)
+        stay = [h for h in self.hosts.values() if h in self.pool or not (h.listed or self.fresh)]
+        lost = [s for s in self.slices.values() if s.owner not in stay]
         # A cold server that holds too much (it died with its slices and came back, or they grew), or whose
         # answers are late, tips over: what is too much leaves without waiting for gate or hold.
         warm = any(not self.cold(h) for h in self.pool)
@@ -434,18 +438,14 @@
                     h.load -= s.part
                     lost.append(s)
                     s.owner = None
-        for s in sorted(lost, key=lambda s: (-s.rate, s.id)):
-            if s.owner and not s.owner.listed and not self.fresh:
-                continue  # the saved list may be older than this line
-            sound = [h for h in s.helpers if h in self.pool]
-            if to := max(sound, key=lambda h: self.score(s, h)) if sound else self.best(s, s.part, must=True):
+        for s in sorted(lost, key=lambda s: (not s.owner or not self.leaving(s.owner), -s.rate, s.id)):
+            if s.helpers:
+                self.give(s, max(s.helpers, key=lambda h: self.score(s, h)), hold=False)
+            elif to := self.best(s, s.part, must=True):
                 self.give(s, to, hold=False)
             elif s.owner and self.leaving(s.owner):  # nowhere to go: the drain is kept
                 s.owner = None
-        for s in self.slices.values():
-            s.helpers = [h for h in s.helpers if h in self.pool]
-            s.held = s.held if s.held in self.pool else None
-            self.write(s)
+                self.write(s)
 
     def admit(self) -> None:
         """Let in less while the whole fleet is strained: what waits too long is worth nothing."""
@@ -455,7 +455,7 @@
         level = self.level
         if self.median > FULL or (self.fit < 0.8 and self.median > FULL / 2):
             level = max(LEAST, min(level * 0.95, self.fit))
-        elif self.median < EASE:
+        elif self.median < FULL * 0.75:
             level = min(1.0, level * 1.1, max(level, self.fit * ROOM))
         if level != self.level:
             self.level, self.level_at, self.levels_due = level, self.now, True
@@ -463,23 +463,20 @@
 
     def release(self) -> None:
         """Old owners go once every proxy has acked, or the hold ends."""
-        out = {m for marks in self.proxies.values() for m, _ in marks}
+        out = sorted({m for marks in self.proxies.values() for m, _ in marks})
         for s in self.slices.values():
-            waits = s.held and any((s.hold_mark - m) % WRAP < WRAP // 2 for m in out)
-            if s.held and (not waits or self.now >= s.hold_end):
-                s.held = None
-                self.write(s)
+            waits = any((s.hold_mark - m) % WRAP < WRAP // 2 for m in out)
+            s.held = s.held if waits and self.now < s.hold_end else None
+            self.write(s, all=True)
 
     def move(self) -> None:
         """Moves off live owners: off crowded ones, or won by a better score; gated and paced."""
         for h in [h for h in self.pool if self.now - h.shed_at > self.wait]:
             strain, used = h.strain(self.tight), self.used(h)
-            keep = min(self.strained / max(strain, 0.01), 1.0)
-            if used > SHED and strain > CROWDED / 2:
-                keep = min(keep, 1.0 / used)
-            if keep == 1.0:
+            over = used if used > SHED and strain > CROWDED / 2 else 1.0
+            goal = h.load * min(1.0, 1.0 / over, self.strained / max(strain, 0.01))
+            if goal == h.load:
                 continue
-            goal = h.load * keep
             mine = [s for s in self.slices.values() if not s.held and (s.owner is h or h in s.helpers)]
             for s in sorted(mine, key=lambda s: (-s.part, s.id)):
                 if h.load - s.part * 0.5 <= goal:
@@ -490,9 +487,8 @@
                 to = self.best(s, less if share else s.part, must=share)
                 if not to or to.strain(self.tight) * WORSE >= strain:
                     continue
-                if share and (self.cold(to) or self.used(to, less) * ROOM > self.used(h)):
-                    continue
-                if self.passes(s, to):
+                fits = not share or not self.cold(to) and self.used(to, less) * ROOM <= self.used(h)
+                if fits and self.passes(s, to):
                     h.shed_at = h.shed_at if self.cold(h) else self.now  # a cold one's is for what tips it
                     if share:
                         h.load -= s.part - less
