A server's speed counts half way to its kind's

Told from true speed: the same server's figure swung by half within ten seconds with nothing else changed.

Change: the fair part goes by the geometric mean of the server's own speed and its kind's median. Covers jams seen right after a start and long ways to some servers. Harm: a server that is truly slow is found by its strain later.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -280,8 +280,8 @@
 
     def capacity(self, h: Host) -> float:
         chill = CHILLED * self.set.fall_multiple if self.set.warm_keys and self.cold(h) else 1.0
-        floor = h.floor or self.typical.get(h.entry.kind) or self.usual or 1.0
-        return h.entry.weight * self.warm(h) * chill / floor
+        kind = self.typical.get(h.entry.kind) or self.usual or 1.0  # own speed, half way to its kind's
+        return h.entry.weight * self.warm(h) * chill / math.sqrt(kind * (h.floor or kind))
 
     def survey(self) -> None:
         """Fair load for each server, from the slices' demand and the servers' speeds."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -192,6 +192,15 @@
     rig.check("one_answer")
 
 
+def test_speed_counts_half_way_to_its_kind() -> None:
+    rig = calm()
+    slow, usual = rig.assigner.hosts[14], rig.assigner.hosts[13]
+    slow.floor = 4 * usual.floor
+    ratio = rig.assigner.capacity(slow) / rig.assigner.capacity(usual)
+    rig.say(f"14 was seen four times as slow as its kind: its part is {ratio:.2f} of the others'")
+    rig.check("half_way")
+
+
 def test_stale_sums_of_a_restart() -> None:
     rig = calm()
     rig.say("12 restarted; sums of its old process come late and are passed over")
