A newcomer whose probe has no answer passes; one that refuses does not

Told from servers that do not exist: those refuse, mostly.

Change: a listed server without a run of failures passes on a probe's time-out (the design's "unheard passes"); a refusal, reset or error keeps it out. Harm: a listed server that silently does not exist gets work until it is seen.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -228,7 +228,8 @@
     def probed(self, e: api.ProbeDone) -> None:
         h = self.host(e.host)
         h.probing = False
-        if e.end is api.ProbeEnd.OK:
+        unheard = e.end is api.ProbeEnd.TIMEOUT and h.run < RUN and h.listed  # a long or lossy way
+        if unheard or e.end is api.ProbeEnd.OK:
             h.shown, h.run = self.now, h.run if h.load else 0
         elif e.end is not api.ProbeEnd.FULL and (h.run >= RUN or not h.listed):
             self.failing(h)
@@ -309,8 +310,7 @@
         for h in here:
             if h.shown <= h.failed_at or (not h.listed and self.now - h.shown > self.window):
                 self.probe(h)
-        sure = not self.set.may_probe
-        listed = [h for h in here if sure or h.load or h.shown > h.failed_at] or here
+        listed = [h for h in here if h.load or h.shown > h.failed_at or not self.set.may_probe] or here
         # How often a sum comes anew: the period, or longer where the lines of one don't fit the intake.
         lines = len(listed) * self.set.zones + len(self.slices) * len(self.table)
         self.window = max(self.set.report_every, lines * 1000.0 / self.set.reports_per_s)
