A slice whose demand doubles counts at once

Told from a crowd: one slice grew, the others and the fleet's strain did not.

Change: a sum of more than ten invocations that is over twice the slice's figure replaces it; smaller ones are smoothed as before. Covers hot keys and tides on any server. Harm: a burst of one sum moves or shares a slice too soon.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -228,9 +228,8 @@
     def probed(self, e: api.ProbeDone) -> None:
         h = self.host(e.host)
         h.probing = False
-        unheard = e.end is api.ProbeEnd.TIMEOUT and h.run < RUN and h.listed  # a long or lossy way
-        if unheard or e.end is api.ProbeEnd.OK:
-            h.shown, h.run = self.now, h.run if h.load else 0
+        if e.end is api.ProbeEnd.OK or e.end is api.ProbeEnd.TIMEOUT and h.run < RUN and h.listed:
+            h.shown, h.run = self.now, h.run if h.load else 0  # a time-out may be but a long or lossy way
         elif e.end is not api.ProbeEnd.FULL and (h.run >= RUN or not h.listed):
             self.failing(h)
 
@@ -243,10 +242,12 @@
     def demand(self, e: api.SliceSums) -> None:
         self.asked += e.invocations
         if (s := self.slices.get(e.slice)) and e.span > 0:
-            # Clients ask again for what went unanswered: about half of that is repeats, which end with it.
+            # Half of what went unanswered is repeats. What doubles counts at once, or a cold owner falls over
+            # while the smoothed figure climbs; among few it is chance.
             rate = (e.invocations - min(e.unanswered, e.invocations) * REPEATS) * 1000.0 / e.span
             old = s.rates.get(e.operation, rate)
-            s.rates[e.operation] = old + (rate - old) * (1.0 - 0.5 ** (e.span / 2000.0))
+            keep = 0.0 if rate > 2.0 * old and e.invocations > 10 else 0.5 ** (e.span / 2000.0)
+            s.rates[e.operation] = rate + (old - rate) * keep
             s.rate = sum(s.rates.values())
 
     def acked(self, e: api.Acked) -> None:
@@ -321,8 +322,7 @@
         space = sum(self.capacity(h) for h in listed)
         self.median = middle([h.strain(self.tight) for h in listed])
         self.strained = max(CROWDED, WORSE * self.median)
-        # A cold server's part is counted against the most that the fleet was seen to answer: in an overload
-        # a fair part of what is asked would push it over.
+        # A cold server's part is of the most that the fleet was seen to answer: of what is asked, it falls over.
         unit = math.log(2.0) * 1000.0 / (PEAK_SPAN * self.set.report_every)
         if space and self.now - self.born > 2 * PEAK_SPAN * self.set.report_every:  # else too little is known
             self.peak = max(self.peak if self.peak < math.inf else 0.0, self.done * unit / space)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -276,3 +276,13 @@
     rig.run(2, all_well)
     listed(rig, up(11, "draining"), up(12, "draining"))
     rig.check("long_way")
+
+
+def test_a_burst_counts_at_once() -> None:
+    rig = calm()
+    rates = []
+    for count in (10, 9, 40, 30):
+        rig.step(api.SliceSums(2, 0, count, 0, 1000.0))
+        rates.append(round(rig.assigner.slices[2].rate, 1))
+    rig.say(f"10, 9, 40 and 30 invocations of slice 2 a second count as {rates}")
+    rig.check("burst")
