--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -322,7 +322,7 @@
         space = sum(self.capacity(h) for h in listed)
         self.median = middle([h.strain(self.tight) for h in listed])
         self.strained = max(CROWDED, WORSE * self.median)
-        # A cold server's part is of the most that the fleet was seen to answer: of what is asked, it falls over.
+        # A cold server's part is of the most that the fleet was seen to answer: what is asked pushes it over.
         unit = math.log(2.0) * 1000.0 / (PEAK_SPAN * self.set.report_every)
         if space and self.now - self.born > 2 * PEAK_SPAN * self.set.report_every:  # else too little is known
             self.peak = max(self.peak if self.peak < math.inf else 0.0, self.done * unit / space)
