--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -423,7 +423,7 @@
             s.held = s.held if s.held in self.pool else None
             if s.owner in self.pool:
                 self.write(s)
-        stay = [h for h in self.hosts.values() if h in self.pool or not (h.listed or self.fresh)]
+        stay = {*self.pool, *(h for h in self.hosts.values() if not (h.listed or self.fresh))}
         lost = [s for s in self.slices.values() if s.owner not in stay]
         # A cold server that holds too much (it died with its slices and came back, or they grew), or whose
         # answers are late, tips over: what is too much leaves without waiting for gate or hold.
@@ -465,7 +465,7 @@
         """Old owners go once every proxy has acked, or the hold ends."""
         out = sorted({m for marks in self.proxies.values() for m, _ in marks})
         for s in self.slices.values():
-            waits = any((s.hold_mark - m) % WRAP < WRAP // 2 for m in out)
+            waits = s.held and any((s.hold_mark - m) % WRAP < WRAP // 2 for m in out)
             s.held = s.held if waits and self.now < s.hold_end else None
             self.write(s, all=True)
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -70,7 +70,7 @@
     rig.say("13 answers nothing more and fails its probe: a crash")
     rig.ends = {13: GONE}
     rig.step(*sums({11: 20, 12: 20, 14: 20}, {13: 20}))
-    rig.step(api.ProbeDone(13, api.ProbeEnd.UNREACHABLE))
+    rig.step(api.ProbeDone(13, GONE))
     rig.say("14 answers nothing, its probes do: a hang, once it is silent for two windows")
     rig.run(5, lambda: sums({11: 20, 12: 20}, {14: 20}))
     rig.check("death")
@@ -262,7 +262,7 @@
     rig = Rig(queue_most=52.0)
     rig.start(HOSTS, {s: 12 + s % 2 for s in range(8)})
     rig.run(3, all_well)
-    rig.say("12 and 13 drain, 16 lines to each proxy; the queue has room for 13: the rest waits for acks")
+    rig.say("12 and 13 drain, 16 lines to a proxy, the queue has room for 13: a cordon each, then new owners")
     listed(rig, up(12, "draining"), up(13, "draining"))
     rig.run(1, all_well)
     rig.check("bounded")
