--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# make test: set up, then all tests. make demo: set up, play the bad day on loopback, print the verdict.
+VENV ?= .venv
+SEED ?= 1
+
+.PHONY: setup test lint demo bench clean
+
+setup: $(VENV)/.done
+
+$(VENV)/.done: pyproject.toml constraints.txt
+	test -d $(VENV) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt -e '.[lab,dev]'
+	touch $@
+
+test: setup
+	$(VENV)/bin/python -m pytest -q
+
+lint: setup
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+demo: setup
+	$(VENV)/bin/corallanding lab run examples/bad-day.hcl --out out/bad-day --seed $(SEED)
+
+bench: setup
+	$(VENV)/bin/python -m bench.run
+
+clean:
+	rm -rf out build *.egg-info
--- /dev/null
+++ b/corallanding/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP door: health, metrics and tables, read only (`door`)."""
--- /dev/null
+++ b/corallanding/cli/main.py
@@ -0,0 +1,70 @@
+"""`corallanding`: check, steward, replay, and the lab's sub-commands. Exit 2 is always bad input, by name."""
+
+from __future__ import annotations
+
+import sys
+from importlib.metadata import entry_points
+from pathlib import Path
+from typing import Annotated, Optional
+
+import typer
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
+File = Annotated[Path, typer.Argument(exists=False)]
+
+
+def fail(text: object, code: int = 2) -> typer.Exit:
+    print(text, file=sys.stderr)
+    return typer.Exit(code)
+
+
+@app.command()
+def check(file: File) -> None:
+    """Read a steward's configuration and say what is wrong with it."""
+    from ..config import ConfigFault, load_steward
+
+    try:
+        config = load_steward(file)
+    except ConfigFault as fault:
+        raise fail(fault) from None
+    print(f"{file}: ok: {config.slices.count} slices, {len(config.operation)} operations")
+
+
+@app.command()
+def steward(
+    config: Annotated[Path, typer.Option("--config", help="the steward's configuration")],
+    record: Annotated[Optional[Path], typer.Option("--record", help="keep a recording here")] = None,  # noqa: UP045
+) -> None:
+    """Run a steward until SIGTERM. SIGHUP reloads what can be reloaded."""
+    from ..steward.daemon import run
+
+    raise typer.Exit(run(str(config), str(record) if record else None))
+
+
+@app.command()
+def replay(file: File) -> None:
+    """Run a recording through the module again and compare every action."""
+    from ..balance import Assigner
+    from ..steward import record
+
+    try:
+        found = record.read(file)
+    except (record.RecordFault, OSError) as fault:
+        raise fail(fault) from None
+    difference = record.compare(found, Assigner)
+    if difference:
+        raise fail(f"{file}: {difference}", 1)
+    torn = "; the last item is torn off" if found.torn else ""
+    actions = sum(len(a) for _, _, a in found.steps)
+    print(f"{file}: {len(found.steps)} steps, {actions} actions, no difference{torn}")
+
+
+def main() -> None:
+    # What stands on top of the steward (the lab) adds its sub-commands by entry point: nothing imports it.
+    for found in entry_points(group="corallanding.commands"):
+        app.add_typer(found.load(), name=found.name)
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/corallanding/config/models.py
@@ -0,0 +1,256 @@
+"""The steward's configuration: every setting that the module reads has a key here, a unit and a check."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+
+from .. import interface as api
+from ..roster.view import loopback
+from .hcl import load
+
+
+def on_loopback(address: str) -> str:
+    loopback(address)
+    return address
+
+
+Address = Annotated[str, AfterValidator(on_loopback)]
+Ms = Annotated[float, Field(gt=0, le=86_400_000)]
+MsOrNone = Annotated[float, Field(ge=0, le=86_400_000)]
+Count = Annotated[int, Field(ge=1, le=1_000_000)]
+Ratio = Annotated[float, Field(ge=0, le=1)]
+
+
+class Block(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
+
+
+class Identity(Block):
+    listen: Address
+    number: Annotated[int, Field(ge=0, le=65535)] = 0
+    stewards: Count = 1
+    seed: int = 0
+    zone: str | None = None
+    turn_ms: Annotated[float, Field(gt=0, le=1000)] = 2.0
+    peers: dict[str, Address] = {}
+    peer_listen: Address | None = None
+
+
+class OperationBlock(Block):
+    repeat: Literal["idempotent", "fingerprinted", "side-effecting"]
+    latency_objective_ms: Ms
+    integration_timeout_ms: Ms
+    billed_value: Annotated[float, Field(ge=0)] = 1.0
+    late_value: Ratio = 0.0
+    group: Literal["all", "zone", "cell"] = "all"
+    window_ms: MsOrNone = 5000.0
+    writes: bool = False
+    zone_bound: bool = False
+
+    @model_validator(mode="after")
+    def ordered(self) -> OperationBlock:
+        if self.latency_objective_ms > self.integration_timeout_ms:
+            raise ValueError("latency_objective_ms is above integration_timeout_ms")
+        return self
+
+
+class SlicesBlock(Block):
+    count: Annotated[int, Field(ge=0, le=65_534)]
+    first: Annotated[int, Field(ge=0, le=65_534)] = 0
+    last: Annotated[int, Field(ge=0, le=65_534)] | None = None
+    sole_owner: bool = False
+    lease_ms: MsOrNone = 0.0
+    in_flight_most_ms: MsOrNone = 0.0
+    warm_keys: bool = False
+
+    @model_validator(mode="after")
+    def inside(self) -> SlicesBlock:
+        if self.last is not None and not self.first <= self.last < self.count:
+            raise ValueError("first and last must name a range within count")
+        return self
+
+
+class RulesBlock(Block):
+    bare_most_ms: Ms = 5000.0
+    drain_grace_ms: Ms = 3000.0
+    drain_binds_alone: bool = False
+    cold_ms: Ms = 10000.0
+    cold_from: Annotated[float, Field(gt=0, le=1)] = 0.2
+    fall_ms: Ms = 3000.0
+    fall_multiple: Annotated[float, Field(ge=1, le=100)] = 4.0
+
+
+class ChannelBlock(Block):
+    rate_lines_per_s: Annotated[float, Field(gt=0, le=1e9)] = 10000.0
+    head_lines: Annotated[float, Field(ge=0, le=10000)] = 8.0
+    queue_most_lines: Annotated[float, Field(gt=0, le=1e9)] = 10000.0
+    messages_most: Annotated[int, Field(ge=0, le=100000)] = 0
+    messages_span_ms: Ms = 10000.0
+    transit_ms: MsOrNone = 20.0
+    transit_most_ms: MsOrNone = 200.0
+
+
+class ReportsBlock(Block):
+    every_ms: Ms = 1000.0
+    lines_per_s: Annotated[float, Field(gt=0, le=1e7)] = 400.0
+    load_in_probe: list[str] = []
+    keys_most: Count = 100_000
+
+
+class ForwardersBlock(Block):
+    count: Count = 1
+    most: Annotated[int, Field(ge=1, le=65535)] = 4096
+    pick: Literal["p2c", "random", "rotate"] = "p2c"
+    admission: Literal["fraction", "per_second", "off"] = "fraction"
+    usual_retry: Annotated[int, Field(ge=0, le=3)] = 0
+    try_aims: Annotated[float, Field(gt=0, le=100)] = 1.0
+    ejects: Annotated[int, Field(ge=0, le=1000)] = 0
+    beat_ms: Ms = 500.0
+    silence_ms: Ms = 2500.0
+    hello_within_ms: Ms = 2000.0
+    frame_most_bytes: Annotated[int, Field(ge=256, le=1 << 26)] = 1 << 20
+    frames_per_s: Annotated[float, Field(gt=0, le=1e6)] = 200.0
+    buffer_most_bytes: Annotated[int, Field(ge=1024, le=1 << 30)] = 4 << 20
+    reads_per_s: Annotated[float, Field(gt=0, le=1e6)] = 200.0
+
+
+class RosterBlock(Block):
+    address: Address
+    mode: Literal["pushed", "on_request"] = "pushed"
+    ask_within_ms: Ms = 10000.0
+    weights: Literal["off", "nominal", "rough", "live"] = "off"
+    hosts_most: Count = 10_000
+    line_most_bytes: Annotated[int, Field(ge=1024, le=1 << 28)] = 4 << 20
+    wait_ms: Ms = 100.0
+    wait_most_ms: Ms = 2000.0
+    timeout_ms: Ms = 2000.0
+
+
+class ProbeBlock(Block):
+    allowed: bool = True
+    path: Annotated[str, Field(pattern=r"^/[!-~]*$", max_length=200)] = "/health"
+    timeout_ms: Ms = 250.0
+    most_in_flight: Annotated[int, Field(ge=1, le=10000)] = 16
+    most_waiting: Annotated[int, Field(ge=1, le=100000)] = 1000
+
+
+class StoreBlock(Block):
+    path: str
+    sync: Literal["normal", "full"] = "normal"
+    retry_ms: Ms = 250.0
+    retry_most_ms: Ms = 5000.0
+
+
+class DoorBlock(Block):
+    listen: Address
+    connections_most: Annotated[int, Field(ge=1, le=10000)] = 32
+    header_most_bytes: Annotated[int, Field(ge=128, le=1 << 20)] = 8192
+    request_within_ms: Ms = 2000.0
+
+
+class LogBlock(Block):
+    format: Literal["json", "console"] = "json"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class RecordBlock(Block):
+    most_mb: Annotated[float, Field(gt=0, le=1e6)] = 512.0
+
+
+class PricesBlock(Block):
+    probe: float = 0.0
+    message: float = 0.0
+    move: float = 0.0
+
+
+class StewardConfig(Block):
+    steward: Identity
+    store: StoreBlock
+    roster: RosterBlock
+    slices: SlicesBlock
+    operation: Annotated[dict[str, OperationBlock], Field(min_length=1, max_length=30)]
+    zones: Annotated[list[str], Field(min_length=1, max_length=65535)] = ["all"]
+    rules: RulesBlock = RulesBlock()
+    channel: ChannelBlock = ChannelBlock()
+    reports: ReportsBlock = ReportsBlock()
+    forwarders: ForwardersBlock = ForwardersBlock()
+    probe: ProbeBlock = ProbeBlock()
+    door: DoorBlock | None = None
+    log: LogBlock = LogBlock()
+    record: RecordBlock = RecordBlock()
+    prices: PricesBlock = PricesBlock()
+
+    @model_validator(mode="after")
+    def whole(self) -> StewardConfig:
+        if self.steward.zone is not None and self.steward.zone not in self.zones:
+            raise ValueError(f"steward.zone {self.steward.zone!r} is not one of zones")
+        if self.steward.number >= self.steward.stewards:
+            raise ValueError("steward.number must be below steward.stewards")
+        # One message with every slice's two lines must fit for each forwarder, or a start cannot be published.
+        least = self.channel.head_lines * 2 + 4
+        if self.channel.queue_most_lines < least * self.forwarders.count:
+            need = least * self.forwarders.count
+            raise ValueError(f"channel.queue_most_lines holds no message for each forwarder ({need:g} needed)")
+        return self
+
+
+def load_steward(path: str | Path) -> StewardConfig:
+    """A steward's configuration file. Raises `ConfigFault`."""
+    return load(path, StewardConfig)
+
+
+def settings(c: StewardConfig) -> api.Settings:
+    """What the module is given of it."""
+    operations = tuple(
+        api.Operation(
+            name, api.Repeat(o.repeat), o.group, o.window_ms, o.billed_value, o.late_value,
+            o.latency_objective_ms, o.integration_timeout_ms, o.writes, o.zone_bound,
+        )
+        for name, o in c.operation.items()
+    )  # fmt: skip
+    return api.Settings(
+        operations=operations,
+        zone=c.zones.index(c.steward.zone) if c.steward.zone else 0,
+        zones=len(c.zones),
+        stewards=c.steward.stewards,
+        me=c.steward.number,
+        slices=c.slices.count,
+        proxies=c.forwarders.count,
+        list_on_request=c.roster.mode == "on_request",
+        ask_within=c.roster.ask_within_ms,
+        listed_weights=c.roster.weights,
+        sole_owner=c.slices.sole_owner,
+        lease=c.slices.lease_ms,
+        in_flight_most=c.slices.in_flight_most_ms,
+        admission=c.forwarders.admission,
+        usual_retry=c.forwarders.usual_retry,
+        try_aims=c.forwarders.try_aims,
+        pick=c.forwarders.pick,
+        ejects=c.forwarders.ejects,
+        bare_most=c.rules.bare_most_ms,
+        drain_grace=c.rules.drain_grace_ms,
+        drain_binds_alone=c.rules.drain_binds_alone,
+        cold=c.rules.cold_ms,
+        cold_from=c.rules.cold_from,
+        fall=c.rules.fall_ms,
+        fall_multiple=c.rules.fall_multiple,
+        channel_rate=c.channel.rate_lines_per_s,
+        message_head=c.channel.head_lines,
+        queue_most=c.channel.queue_most_lines,
+        messages_most=c.channel.messages_most,
+        messages_span=c.channel.messages_span_ms,
+        transit=c.channel.transit_ms,
+        transit_most=c.channel.transit_most_ms,
+        report_every=c.reports.every_ms,
+        reports_per_s=c.reports.lines_per_s,
+        may_probe=c.probe.allowed,
+        warm_keys=c.slices.warm_keys,
+        probe_price=c.prices.probe,
+        message_price=c.prices.message,
+        move_price=c.prices.move,
+        load_in_probe=tuple(c.reports.load_in_probe),
+        period=c.steward.turn_ms,
+    )
--- /dev/null
+++ b/corallanding/lab/commands.py
@@ -0,0 +1,100 @@
+"""`corallanding lab`: run a scenario, compare publishers, turn a bench day into a scenario."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Annotated, Any, Optional
+
+import typer
+
+from ..config import ConfigFault
+
+lab = typer.Typer(no_args_is_help=True)
+
+
+def fail(text: object, code: int = 2) -> typer.Exit:
+    print(text, file=sys.stderr)
+    return typer.Exit(code)
+
+
+def told(result: dict[str, Any]) -> None:
+    for r in result["rules"]:
+        word = {True: "kept", False: "BROKEN", None: "not judged"}[r["kept"]]
+        print(f"  {r['rule']:28} {word:10} worst {r['worst']:>10g}  limit {r['limit']:>10g}  {r['note']}")
+
+
+@lab.command("run")
+def run(
+    scenario: Path,
+    out: Annotated[Path, typer.Option("--out", help="folder for results")],
+    seed: Annotated[int, typer.Option("--seed")] = 1,
+    publisher: Annotated[Optional[str], typer.Option("--publisher", help="another decider")] = None,  # noqa: UP045
+) -> None:
+    """Play a scenario on loopback. Exit 0 if all rules held, 1 if one broke, 2 on bad input."""
+    from .publishers import PUBLISHERS
+    from .runner import play
+    from .scenario import load_scenario
+
+    try:
+        found = load_scenario(scenario)
+    except ConfigFault as fault:
+        raise fail(fault) from None
+    name = publisher or found.publisher
+    if name not in PUBLISHERS:
+        raise fail(f"publisher {name!r} is not one of {', '.join(PUBLISHERS)}")
+    try:
+        result = play(found.model_copy(update={"publisher": name}), out, seed)
+    except (OSError, RuntimeError) as fault:
+        raise fail(fault, 3) from None
+    print(
+        f"{found.name}, seed {seed}, {name}: service {result['service']:.3f}, worst 10 s {result['worst_10_s']:.3f}, "
+        f"{result['succeeded']} of {result['invocations']} succeeded, {result['doubles']} doubled"
+    )
+    told(result)
+    kept = [r["kept"] for r in result["rules"]]
+    raise typer.Exit(0 if all(kept) else 1)
+
+
+@lab.command("scenario")
+def scenario(
+    day: Annotated[Path, typer.Option("--from", help="a day as the bench draws it, JSON")],
+    out: Annotated[Optional[Path], typer.Option("--out", help="the scenario file")] = None,  # noqa: UP045
+    scale: Annotated[float, typer.Option("--scale", help="part of the fleet and its traffic")] = 1.0,
+) -> None:
+    """Turn a day of the bench into a scenario for the real steward."""
+    from .scenario import from_day, scenario_hcl
+
+    try:
+        raw = json.loads(day.read_text())
+        found = from_day(raw, day.stem, scale)
+    except (OSError, ValueError) as fault:
+        raise fail(f"{day}: {fault}") from None
+    except ConfigFault as fault:
+        raise fail(fault) from None
+    text = scenario_hcl(found)
+    if out:
+        out.write_text(text)
+    else:
+        print(text, end="")
+
+
+@lab.command("audit")
+def audit(
+    trace: Path, scenario: Annotated[Path, typer.Option("--scenario")]
+) -> None:
+    """Judge a kept trace again."""
+    from .audit import judge
+    from .runner import Lab
+    from .scenario import load_scenario
+    from .trace import read
+
+    try:
+        limits = Lab(load_scenario(scenario), Path("."), 0).limits()
+        records = read(trace)
+    except (ConfigFault, OSError, ValueError, EOFError) as fault:
+        raise fail(fault) from None
+    verdicts, _ = judge(records, limits)
+    told({"rules": [vars(v) for v in verdicts]})
+    raise typer.Exit(0 if all(v.kept for v in verdicts) else 1)
--- /dev/null
+++ b/corallanding/lab/faults.py
@@ -0,0 +1,279 @@
+"""What goes wrong, when, and to whom. Each kind is one function of the running lab; `docs/scenarios.md` lists them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from .clients import Hot
+from .host import Host, release
+from .scenario import Fault, Scenario
+from .trace import clock
+
+if TYPE_CHECKING:
+    from .runner import Lab
+
+
+def hots(s: Scenario, slices: list[int]) -> list[Hot]:
+    """Faults that are drawn into the arrivals. slices: numbers in an order drawn by the run's seed."""
+    out = []
+    for f in s.fault:
+        at, length = f.at_s * 1000.0, f.for_s * 1000.0
+        if f.kind == "hot_key":
+            count = max(1, int(f.extra))
+            out.append(Hot(at, length, share=f.size if f.size < 1 else f.part, slices=tuple(slices[:count])))
+        elif f.kind == "heavy_tail":
+            out.append(Hot(at, length, heavy=f.size, heavy_share=f.extra if f.extra < 1 else 0.02))
+        elif f.kind == "grow":
+            out.append(Hot(at, s.seconds * 1000.0, more=max(1.0, f.size)))
+    return out
+
+
+class Faults:
+    def __init__(self, lab: Lab) -> None:
+        self.lab, self.witness = lab, lab.trace.witness("faults")
+
+    def some(self, f: Fault, share: float | None = None) -> list[Host]:
+        """The hosts that a fault strikes: named, or a share of those up, drawn by the run's seed."""
+        up = [h for h in self.lab.hosts.values() if h.up and not h.draining]
+        if f.on:
+            return [h for h in up if h.number in f.on]
+        count = max(1, round(len(up) * (f.part if share is None else share)))
+        order = self.lab.chance.permutation(len(up))
+        return [up[i] for i in order[:count]]
+
+    def forwarders(self, f: Fault) -> list[int]:
+        n = len(self.lab.forwarders)
+        if f.on:
+            return [k for k in f.on if k < n]
+        return [int(k) for k in self.lab.chance.permutation(n)[: max(1, round(n * f.part))]]
+
+    def zone(self, f: Fault) -> int:
+        zones = len(self.lab.scenario.zones)
+        return f.on[0] % zones if f.on else zones - 1
+
+    async def play(self, f: Fault, begun: float) -> None:
+        await asyncio.sleep(max(0.0, begun + f.at_s * 1000.0 - clock()) / 1000.0)
+        self.witness.saw("fault", f.kind, "on", f.for_s)
+        acts: Callable[[Fault], Awaitable[None]] = getattr(self, f.kind)
+        await acts(f)
+        self.witness.saw("fault", f.kind, "off", f.for_s)
+
+    async def wait(self, f: Fault) -> None:
+        await asyncio.sleep(f.for_s)
+
+    # ---- hosts -----------------------------------------------------------------------------------------
+
+    async def crash(self, f: Fault) -> None:
+        struck = self.some(f)
+        for h in struck:
+            h.kill()
+            self.lab.registry(h, "removed")
+        await self.wait(f)
+        for h in struck:
+            await self.lab.bring_up(h)
+
+    async def retire(self, hosts: list[Host], drain_s: float, successors: bool) -> None:
+        for h in hosts:
+            self.lab.registry(h, "draining")
+        if successors:
+            for h in hosts:
+                await self.lab.add_host(h.zone, h.spec)
+        await asyncio.sleep(drain_s)
+        for h in hosts:
+            h.draining = True
+            h.kill()
+            self.lab.registry(h, "removed")
+
+    async def deploy(self, f: Fault) -> None:
+        old = self.some(f, f.part)
+        batch = max(1, round(len(old) * min(f.size, 1.0)))
+        batches = [old[k : k + batch] for k in range(0, len(old), batch)]
+        gap = max(0.0, f.for_s / len(batches) - f.extra)
+        for hosts in batches:
+            await self.retire([h for h in hosts if h.up], f.extra, successors=True)
+            await asyncio.sleep(gap)
+
+    async def preempt(self, f: Fault) -> None:
+        await self.retire(self.some(f), f.extra, successors=True)
+
+    async def drain(self, f: Fault) -> None:
+        await self.retire(self.some(f), f.for_s, successors=False)
+
+    async def shrink(self, f: Fault) -> None:
+        await self.retire(self.some(f, 1.0 - 1.0 / max(f.size, 1.0)), f.for_s, successors=False)
+
+    async def grow(self, f: Fault) -> None:
+        up = [h for h in self.lab.hosts.values() if h.up]
+        for k in range(round(len(up) * (max(f.size, 1.0) - 1.0))):
+            await self.lab.add_host(up[k % len(up)].zone, up[k % len(up)].spec)
+
+    async def hang(self, f: Fault) -> None:
+        struck = self.some(f)
+        for h in struck:
+            h.hung = True
+        await self.wait(f)
+        for h in struck:
+            h.hung = False
+
+    async def slow(self, f: Fault) -> None:
+        struck = self.some(f)
+        for h in struck:
+            h.slowness = max(1.0, f.size)
+        await self.wait(f)
+        for h in struck:
+            h.slowness = 1.0
+
+    async def neighbour(self, f: Fault) -> None:
+        struck, end = self.some(f), clock() + f.for_s * 1000.0
+        while clock() < end:
+            for h in struck:
+                h.taken_share = 0.0 if h.taken_share else min(f.size, 0.95)
+            await asyncio.sleep(min(max(f.extra, 0.1), 5.0))
+        for h in struck:
+            h.taken_share = 0.0
+
+    async def pauses(self, f: Fault) -> None:
+        struck, end = self.some(f), clock() + f.for_s * 1000.0
+        while clock() < end:
+            for on in (True, False):
+                for h in struck:
+                    release(h, on)
+                await asyncio.sleep(f.size / 1000.0 if on else max(f.extra, 0.05))
+
+    async def answer_lost(self, f: Fault) -> None:
+        struck = self.some(f)
+        for h in struck:
+            self.lab.net.answers_lost[h.number] = min(f.size, 1.0)
+        await self.wait(f)
+        for h in struck:
+            self.lab.net.answers_lost.pop(h.number, None)
+
+    # ---- ways ------------------------------------------------------------------------------------------
+
+    async def zone_cut(self, f: Fault) -> None:
+        zone = self.zone(f)
+        self.lab.net.cut.add(zone)
+        await self.wait(f)
+        self.lab.net.cut.discard(zone)
+
+    async def one_sided(self, f: Fault) -> None:
+        zone = self.zone(f)
+        self.lab.net.deaf.add(zone)
+        await self.wait(f)
+        self.lab.net.deaf.discard(zone)
+
+    async def slow_link(self, f: Fault) -> None:
+        zone = self.zone(f)
+        delay = f.size * 100.0 if f.size < 10 else f.size
+        self.lab.net.slow[zone] = (delay, min(f.extra, 0.5) if f.extra < 1 else 0.0)
+        await self.wait(f)
+        self.lab.net.slow.pop(zone, None)
+
+    async def zone_loss(self, f: Fault) -> None:
+        zone = self.zone(f)
+        struck = [h for h in self.lab.hosts.values() if h.zone == zone and h.up]
+        with_forwarders = f.size > 0.5 and len(self.lab.scenario.zones) > 1
+        gone = [x for x in self.lab.forwarders if x.zone == zone] if with_forwarders else []
+        for h in struck:
+            h.kill()
+            self.lab.registry(h, "removed")
+        for x in gone:
+            x.restart(True)
+        await self.wait(f)
+        for h in struck:
+            await self.lab.bring_up(h)
+        for x in gone:
+            x.restart(False)
+
+    # ---- forwarders and stewards -----------------------------------------------------------------------
+
+    async def counter_down(self, f: Fault) -> None:
+        struck = [self.lab.forwarders[k] for k in self.forwarders(f)]
+        for x in struck:
+            x.cut_off = True
+            if x.link and x.link.transport:
+                x.link.transport.abort()
+        await self.wait(f)
+        for x in struck:
+            x.cut_off = False
+
+    async def balancer_roll(self, f: Fault) -> None:
+        numbers = self.forwarders(f)
+        batch = max(1, round(len(self.lab.forwarders) * min(f.size, 1.0)))
+        for k in range(0, len(numbers), batch):
+            struck = [self.lab.forwarders[n] for n in numbers[k : k + batch]]
+            for x in struck:
+                x.restart(True)
+            await asyncio.sleep(min(f.extra, 5.0))
+            for x in struck:
+                x.restart(False)
+            await asyncio.sleep(max(0.2, f.for_s * batch / len(numbers) - f.extra))
+
+    async def balancer_stall(self, f: Fault) -> None:
+        end, stall = clock() + f.for_s * 1000.0, f.size / 1000.0 if f.size > 20 else f.size
+        if f.how == "steward":
+            while clock() < end:
+                await self.lab.freeze_steward(stall)
+                await asyncio.sleep(max(f.extra, 0.2))
+            return
+        struck = [self.lab.forwarders[k] for k in self.forwarders(f)]
+        while clock() < end:
+            for x in struck:
+                x.stall(True)
+            await asyncio.sleep(stall)
+            for x in struck:
+                x.stall(False)
+            await asyncio.sleep(max(f.extra, 0.2))
+
+    async def steward_kill(self, f: Fault) -> None:
+        await self.lab.kill_steward()
+        await self.wait(f)
+        await self.lab.start_steward()
+
+    async def store_down(self, f: Fault) -> None:
+        """The store's file cannot be written: another process holds its write lock for the time."""
+        await self.lab.hold_store(f.for_s)
+
+    # ---- the list --------------------------------------------------------------------------------------
+
+    async def roster_down(self, f: Fault) -> None:
+        self.lab.roster.fail(True)
+        await self.wait(f)
+        self.lab.roster.fail(False)
+
+    async def wrong_list(self, f: Fault) -> None:
+        roster, end = self.lab.roster, clock() + f.for_s * 1000.0
+        struck = {h.number for h in self.some(f)}
+        if f.how == "stale":
+            roster.frozen = {h: dict(r) for h, r in roster.rows.items()}
+        elif f.how == "ghost":
+            for k in range(max(1, int(f.size))):
+                number = 1_000_000 + k
+                row = {"state": "up", "address": "127.0.0.1:1", "zone": 0, "started": time.time() * 1000.0}
+                roster.ghosts[number] = {"host": number, **row}
+        else:
+            roster.dropped = set(roster.rows) if f.how == "empty" else struck
+        roster.changed()
+        while clock() < end:
+            await asyncio.sleep(min(max(f.extra, 0.2), max(0.01, (end - clock()) / 1000.0)))
+            if f.how == "blink":
+                roster.dropped = set() if roster.dropped else struck
+                roster.changed()
+        roster.dropped, roster.ghosts, roster.frozen = set(), {}, None
+        roster.changed()
+
+    # ---- in the arrivals -------------------------------------------------------------------------------
+
+    async def hot_key(self, f: Fault) -> None:
+        await self.wait(f)
+
+    async def heavy_tail(self, f: Fault) -> None:
+        await self.wait(f)
+
+    async def give_up(self, f: Fault) -> None:
+        self.lab.clients.patience = 1.0 / max(f.size, 1.0)
+        await self.wait(f)
+        self.lab.clients.patience = 1.0
--- /dev/null
+++ b/corallanding/lab/publishers.py
@@ -0,0 +1,122 @@
+"""Other deciders in place of the module: a baseline, and one saboteur for each rule that the audit must catch."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable, Sequence
+
+from .. import interface as api
+from ..balance import Assigner
+from ..steward.engine import Decider
+
+
+class Hashing:
+    """The baseline: each slice on the host that plain hashing picks among those listed as up. No load, no gate."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.hosts: dict[int, api.HostEntry] = {}
+        self.slices: dict[int, dict[int, float]] = {}
+        self.begun = False
+
+    def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        out: list[api.Action] = []
+        for e in events:
+            match e:
+                case api.Membership(form=api.ListForm.FAILED):
+                    out.append(api.Remind(500.0, 1))
+                case api.Membership():
+                    self.hosts = {} if e.form is not api.ListForm.CHANGES else self.hosts
+                    self.hosts.update({x.host: x for x in e.entries})
+                case api.SliceGiven(on=True):
+                    self.slices[e.slice] = {}
+                case api.OnRecord():
+                    self.slices[e.slice][e.host] = e.weight
+                case api.Due(handle=1):
+                    out.append(api.Follow(True))
+        if not self.begun:
+            self.begun = True
+            out.append(api.Follow(True))
+        up = [h for h, x in self.hosts.items() if x.state == "up"]
+        for s, lines in self.slices.items():
+            if up:
+                to = max(up, key=lambda h: zlib.crc32(f"{s}:{h}".encode()))
+                if set(lines) != {to}:
+                    out.append(api.SetLine(s, to, 1.0))
+                    out += [api.SetLine(s, h, 0.0) for h in lines if h != to]
+                    self.slices[s] = {to: 1.0}
+        return out
+
+
+class Saboteur:
+    """The module, with one kind of wrong order mixed in."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.set, self.inner = settings, Assigner(settings, seed)
+        self.begun: float | None = None
+
+    def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        self.begun = now if self.begun is None else self.begun
+        return self.spoil(now, events, self.inner.step(now, events))
+
+    def spoil(self, now: float, events: Sequence[api.Event], actions: list[api.Action]) -> list[api.Action]:
+        raise NotImplementedError
+
+
+class Barer(Saboteur):
+    """Rule 1: empties a slice and never fills it again."""
+
+    def spoil(self, now: float, events: Sequence[api.Event], actions: list[api.Action]) -> list[api.Action]:
+        kept = [a for a in actions if not (isinstance(a, api.SetLine) and a.slice == 0)]
+        return [*kept, api.ResetTable(0)] if any(isinstance(a, api.SetLine) for a in actions) else kept
+
+
+class Doubler(Saboteur):
+    """Rule 2: has every operation tried again after any failure."""
+
+    def spoil(self, now: float, events: Sequence[api.Event], actions: list[api.Action]) -> list[api.Action]:
+        return [
+            api.Level(a.slice, a.operations, a.amount, api.Retry.TWICE) if isinstance(a, api.Level) else a
+            for a in actions
+        ]
+
+
+class Clinger(Saboteur):
+    """Rule 3: never hears that a host drains or is gone."""
+
+    def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        heard: list[api.Event] = []
+        for e in events:
+            if isinstance(e, api.Membership):
+                entries = tuple(x for x in e.entries if x.state == "up")
+                heard.append(api.Membership(api.ListForm.CHANGES, e.version, entries))
+            elif not isinstance(e, api.HostSums):
+                heard.append(e)
+        return self.inner.step(now, heard)
+
+
+class Pusher(Saboteur):
+    """Rule 4: puts every slice on the newest host as soon as it is listed."""
+
+    def spoil(self, now: float, events: Sequence[api.Event], actions: list[api.Action]) -> list[api.Action]:
+        assert self.begun is not None
+        for e in events:
+            if isinstance(e, api.Membership) and now - self.begun > 500.0:
+                for x in e.entries:
+                    if x.state == "up" and x.online_since > self.begun:
+                        for s in range(self.set.slices):
+                            actions.append(api.SetLine(s, x.host, 1000.0))
+        return actions
+
+
+class Flooder(Saboteur):
+    """Rule 5: writes every table anew at every step."""
+
+    def spoil(self, now: float, events: Sequence[api.Event], actions: list[api.Action]) -> list[api.Action]:
+        level = api.Level(api.ALL_TABLES, 0, 1.0, api.Retry.PROVEN_UNRUN)
+        return [*actions, *(level for _ in range(self.set.slices))]
+
+
+PUBLISHERS: dict[str, Callable[[api.Settings, int], Decider]] = {
+    "corallanding": Assigner, "hashing": Hashing, "barer": Barer, "doubler": Doubler, "clinger": Clinger,
+    "pusher": Pusher, "flooder": Flooder,
+}  # fmt: skip
--- /dev/null
+++ b/corallanding/lab/report.py
@@ -0,0 +1,132 @@
+"""A run's results: `result.json`, `result.md` and the charts."""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from .audit import Verdict
+
+
+def service_by_second(records: Sequence[Any], begun: float) -> tuple[np.ndarray, np.ndarray]:
+    """Billed value asked for, and answered, by the second in which it was asked."""
+    seconds = 1 + int(max((r[2] - begun) / 1000.0 for r in records if r[0] == "clients"))
+    asked, answered, when = np.zeros(seconds), np.zeros(seconds), {}
+    for r in records:
+        if r[3] == "asked":
+            when[r[4]] = int((r[2] - begun) / 1000.0)
+            asked[when[r[4]]] += r[7]
+        elif r[3] == "answered":
+            answered[when[r[4]]] += r[8]
+    return asked, answered
+
+
+def summary(
+    records: Sequence[Any], begun: float, seed: int, name: str, verdicts: list[Verdict], doubled: int,
+    operations: list[str],
+) -> dict[str, Any]:  # fmt: skip
+    asked, answered = service_by_second(records, begun)
+    ends: dict[str, dict[str, int]] = {o: defaultdict(int) for o in operations}
+    for r in records:
+        if r[3] == "answered":
+            ends[operations[r[5]]][r[6]] += 1
+    total = sum(sum(e.values()) for e in ends.values())
+    window = min(10, len(asked))
+    spans = [slice(k, k + window) for k in range(len(asked) - window + 1)]
+    rolls = [answered[s].sum() / max(asked[s].sum(), 1e-9) for s in spans]
+    return {
+        "scenario": name, "seed": seed, "invocations": total,
+        "succeeded": sum(e.get("ok", 0) for e in ends.values()),
+        "service": round(float(answered.sum() / max(asked.sum(), 1e-9)), 4),
+        "worst_10_s": round(float(min(rolls, default=0.0)), 4),
+        "doubles": doubled,
+        "ends": {o: dict(sorted(e.items())) for o, e in ends.items()},
+        "rules": [
+            {"rule": v.rule, "kept": v.kept, "worst": round(v.worst, 3), "limit": v.limit, "note": v.note}
+            for v in verdicts
+        ],
+    }  # fmt: skip
+
+
+FIGURES = ("invocations", "succeeded", "service", "worst_10_s", "doubles")
+
+
+def markdown(result: dict[str, Any], faults: list[str]) -> str:
+    word, rules = {True: "kept", False: "BROKEN", None: "not judged"}, result["rules"]
+    out = [
+        f"# {result['scenario']}, seed {result['seed']} (stand-in hosts on loopback)", "",
+        "| figure | value |", "| --- | --- |",
+        *(f"| {k.replace('_', ' ')} | {result[k]} |" for k in FIGURES),
+        "", "| rule | verdict | worst | limit | note |", "| --- | --- | --- | --- | --- |",
+        *(f"| {r['rule']} | {word[r['kept']]} | {r['worst']:g} | {r['limit']:g} | {r['note']} |" for r in rules),
+        "", "| operation | ends |", "| --- | --- |",
+        *(f"| {o} | {', '.join(f'{k} {n}' for k, n in ends.items())} |" for o, ends in result["ends"].items()),
+        "", "Faults: " + (", ".join(faults) or "none") + ".", "",
+    ]  # fmt: skip
+    return "\n".join(out)
+
+
+def charts(
+    out: Path, records: Sequence[Any], begun: float, polls: list[dict[str, float]], faults: Sequence[Any]
+) -> None:
+    """service.png, load.png, channel.png, publish.png."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+
+    def mark(ax: Any) -> None:
+        for k, (kind, at, length) in enumerate(faults):
+            ax.axvspan(at, at + length, color=f"C{k % 10}", alpha=0.12)
+            ax.text(at, ax.get_ylim()[1] * (0.98 - 0.06 * (k % 5)), kind, fontsize=7, va="top")
+        ax.set_xlabel("seconds")
+
+    def save(fig: Any, name: str) -> None:
+        fig.tight_layout()
+        fig.savefig(out / name, dpi=90)
+        plt.close(fig)
+
+    asked, answered = service_by_second(records, begun)
+    fig, ax = plt.subplots(figsize=(10, 4))
+    ax.plot(np.divide(answered, asked, out=np.ones_like(asked), where=asked > 0), color="C0")
+    ax.set_ylim(0, 1.05)
+    ax.set_ylabel("billed value answered / asked")
+    mark(ax)
+    save(fig, "service.png")
+
+    taken: dict[str, np.ndarray] = {}
+    for r in records:
+        if r[3] == "take" and (at := int((r[2] - begun) / 1000.0)) >= 0:
+            row = taken.setdefault(r[0], np.zeros(len(asked)))
+            if at < len(row):
+                row[at] += 1
+    fig, ax = plt.subplots(figsize=(10, 4))
+    if taken:
+        names = sorted(taken, key=lambda n: int(n.split()[1]))
+        image = ax.imshow(np.array([taken[n] for n in names]), aspect="auto", origin="lower", cmap="viridis")
+        fig.colorbar(image, label="invocations a second")
+        ax.set_ylabel("host")
+    ax.set_xlabel("seconds")
+    save(fig, "load.png")
+
+    for key, label, name in (
+        ("waiting", "lines waiting, heads included", "channel.png"),
+        ("ack_ms", "publish to ack, mean ms", "publish.png"),
+    ):
+        fig, ax = plt.subplots(figsize=(10, 4))
+        rows = [(p["t"], p[key]) for p in polls if key in p]
+        ax.plot([t for t, _ in rows], [v for _, v in rows], ".-", color="C3")
+        ax.set_ylabel(label)
+        ax.set_ylim(bottom=0, top=max([1.0] + [v for _, v in rows]) * 1.1)
+        mark(ax)
+        save(fig, name)
+
+
+def write(out: Path, result: dict[str, Any], faults: list[str]) -> None:
+    (out / "result.json").write_text(json.dumps(result, indent=1) + "\n")
+    (out / "result.md").write_text(markdown(result, faults))
--- /dev/null
+++ b/corallanding/lab/roster.py
@@ -0,0 +1,92 @@
+"""A stand-in roster: knows only of processes, late, and can be wrong. Speaks the line-JSON of `docs/protocol.md`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any, cast
+
+from .trace import Trace
+
+
+class Conn(asyncio.Protocol):
+    def __init__(self, roster: Roster) -> None:
+        self.roster, self.held, self.following = roster, b"", False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)
+        self.transport = transport
+        if self.roster.down:
+            transport.abort()
+            return
+        self.roster.conns.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.held += data
+        while b"\n" in self.held:
+            line, self.held = self.held.split(b"\n", 1)
+            asked = json.loads(line)
+            self.following = asked["ask"] == "follow" or (self.following and asked["ask"] != "stop")
+            if asked["ask"] in ("follow", "fetch"):
+                self.roster.tell(self, "full", self.roster.shown(), None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.roster.conns.discard(self)
+
+
+class Roster:
+    """rows: the truth as far as it has come here; `wrong` changes what is shown of it."""
+
+    def __init__(self, trace: Trace, port: int = 0) -> None:
+        self.witness, self.port = trace.witness("roster"), port
+        self.rows: dict[int, dict[str, Any]] = {}
+        self.version, self.down = 1, False
+        self.conns: set[Conn] = set()
+        self.dropped: set[int] = set()  # living hosts that a wrong list leaves out
+        self.ghosts: dict[int, dict[str, Any]] = {}  # hosts that do not exist
+        self.frozen: dict[int, dict[str, Any]] | None = None  # a list that went back in time
+        self.last: dict[int, dict[str, Any]] = {}
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: Conn(self), "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def shown(self) -> dict[int, dict[str, Any]]:
+        rows = self.rows if self.frozen is None else self.frozen
+        return {h: r for h, r in {**rows, **self.ghosts}.items() if h not in self.dropped}
+
+    def tell(self, conn: Conn, form: str, rows: dict[int, dict[str, Any]], after: int | None) -> None:
+        line = {"form": form, "version": self.version, "hosts": list(rows.values()), "after": after}
+        if not conn.transport.is_closing():
+            self.witness.saw("told", form, self.version, [[r["host"], r["state"], r["started"]] for r in rows.values()])
+            conn.transport.write(json.dumps(line).encode() + b"\n")
+
+    def put(self, host: int, **row: Any) -> None:
+        """A row as the registry now has it; state "removed" takes it out."""
+        old = self.rows.get(host, {})
+        self.rows[host] = {"host": host, **old, **row}
+        if self.rows[host]["state"] == "removed":
+            del self.rows[host]
+        self.changed()
+
+    def changed(self) -> None:
+        """Push what differs from what was shown last."""
+        rows = self.shown()
+        gone = {
+            h: {"host": h, "state": "removed", "started": 0.0, "address": ""} for h in self.last if h not in rows
+        }
+        changes = {**gone, **{h: r for h, r in rows.items() if self.last.get(h) != r}}
+        self.last = {h: dict(r) for h, r in rows.items()}
+        if not changes:
+            return
+        before, self.version = self.version, self.version + 1
+        for conn in list(self.conns):
+            if conn.following:
+                self.tell(conn, "changes", changes, before)
+
+    def fail(self, down: bool) -> None:
+        self.down = down
+        if down:
+            for conn in list(self.conns):
+                conn.transport.abort()
--- /dev/null
+++ b/corallanding/lab/runner.py
@@ -0,0 +1,293 @@
+"""Plays a scenario on loopback: a real steward process, stand-ins around it, then the audit's verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sqlite3
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import uvloop
+
+from . import report
+from .audit import Limits, judge
+from .clients import Clients, ClientSpec, OperationSpec, draw
+from .faults import Faults, hots
+from .forwarder import Forwarder, Rules
+from .host import Host, HostSpec
+from .net import Net
+from .roster import Roster
+from .scenario import Scenario, steward_hcl
+from .trace import Trace, clock
+
+
+def free_port() -> int:
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return int(s.getsockname()[1])
+
+
+async def get(port: int, path: str) -> tuple[int, bytes]:
+    """One GET at the steward's door. Raises OSError if it is not there."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n".encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        return int(head.split()[1]), await reader.read()
+    finally:
+        writer.close()
+
+
+class Lab:
+    def __init__(self, scenario: Scenario, out: Path, seed: int, laxer: bool = False) -> None:
+        self.scenario, self.out, self.seed, self.laxer = scenario, out, seed, laxer
+        self.trace = Trace()
+        self.chance = np.random.default_rng([seed, 1])
+        self.net = Net(seed)
+        self.hosts: dict[int, Host] = {}
+        self.zones: dict[int, int] = {}  # of every host, shared with the forwarders
+        self.roster = Roster(self.trace)
+        self.forwarders: list[Forwarder] = []
+        self.steward: asyncio.subprocess.Process | None = None
+        self.lives = 0
+        self.port, self.door = free_port(), free_port()
+        self.polls: list[dict[str, float]] = []
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.begun = 0.0
+
+    # ---- hosts and what the list hears of them ----------------------------------------------------------
+
+    def spec(self, kind: int) -> HostSpec:
+        k, r = list(self.scenario.host.values())[kind], self.scenario.rules
+        return HostSpec(
+            k.cores, k.speed, k.waiting_room, r.cold_ms, r.cold_from, k.warm_gain, fall_ms=r.fall_ms,
+            fall_multiple=r.fall_multiple,
+        )  # fmt: skip
+
+    async def add_host(self, zone: int, spec: HostSpec, cold: bool = True) -> Host:
+        number = len(self.hosts)
+        h = self.hosts[number] = Host(number, zone, spec, self.trace)
+        self.zones[number] = zone
+        await self.bring_up(h, cold)
+        return h
+
+    async def bring_up(self, h: Host, cold: bool = True) -> None:
+        if h.fallen:
+            return  # it fell over: it stays down
+        await h.start(cold, time.time() * 1000.0)
+        self.registry(h, "up", 0.0 if not cold else self.scenario.roster.add_ms)
+
+    def registry(self, h: Host, state: str, late: float | None = None) -> None:
+        """The list hears of a host, late."""
+        late = self.scenario.roster.notice_ms if late is None else late
+        kind = list(self.scenario.host).index(self.kind_of(h)) if self.kind_of(h) else 0
+        row = {
+            "state": state, "address": h.address, "zone": h.zone, "kind": kind, "cell": h.zone, "weight": 1.0,
+            "started": h.started,
+        }  # fmt: skip
+        if late <= 0:
+            self.roster.put(h.number, **row)
+        else:
+            asyncio.get_running_loop().call_later(late / 1000.0, lambda: self.roster.put(h.number, **row))
+
+    def kind_of(self, h: Host) -> str:
+        for name, k in self.scenario.host.items():
+            if (k.cores, k.speed) == (h.spec.cores, h.spec.speed):
+                return name
+        return ""
+
+    # ---- the steward ------------------------------------------------------------------------------------
+
+    async def start_steward(self) -> None:
+        self.lives += 1
+        config = self.out / "steward.hcl"
+        record = self.out / f"steward-{self.lives}.rec"
+        name = self.scenario.publisher
+        command = ["-m", "corallanding.cli.main", "steward", "--config", str(config), "--record", str(record)]
+        if name != "corallanding":
+            command = ["-m", "corallanding.lab.standin", name, str(config), str(record)]
+        env = {**os.environ, "PYTHONPATH": os.pathsep.join(p for p in sys.path if p)}
+        with open(self.out / "steward.log", "ab") as log:
+            self.steward = await asyncio.create_subprocess_exec(sys.executable, *command, stderr=log, env=env)
+        for _ in range(200):
+            await asyncio.sleep(0.05)
+            try:
+                if (await get(self.door, "/healthz"))[0] == 200:
+                    return
+            except (OSError, asyncio.IncompleteReadError):
+                if self.steward.returncode is not None:
+                    break
+        raise RuntimeError(f"the steward did not start: see {self.out / 'steward.log'}")
+
+    async def kill_steward(self) -> None:
+        if self.steward and self.steward.returncode is None:
+            self.steward.kill()
+            await self.steward.wait()
+
+    async def freeze_steward(self, seconds: float) -> None:
+        if self.steward and self.steward.returncode is None:
+            self.steward.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            self.steward.send_signal(signal.SIGCONT)
+
+    async def hold_store(self, seconds: float) -> None:
+        db = sqlite3.connect(self.out / "store.db", isolation_level=None)
+        try:
+            db.execute("begin immediate")
+            await asyncio.sleep(seconds)
+            db.execute("rollback")
+        finally:
+            db.close()
+
+    async def poll(self) -> None:
+        """What the steward says of itself: charts only, no verdict hangs on it."""
+        before = (0.0, 0.0)
+        while True:
+            await asyncio.sleep(0.25)
+            try:
+                _, page = await get(self.door, "/metrics")
+            except (OSError, asyncio.IncompleteReadError, IndexError):
+                before = (0.0, 0.0)
+                continue
+            rows = {}
+            for line in page.decode().splitlines():
+                if line.startswith("corallanding_"):
+                    name, _, value = line.rpartition(" ")
+                    rows[name.removeprefix("corallanding_")] = float(value)
+            point = {"t": (clock() - self.begun) / 1000.0, "waiting": rows.get("channel_waiting_lines", 0.0)}
+            total, count = rows.get("publish_to_ack_seconds_sum", 0.0), rows.get("publish_to_ack_seconds_count", 0.0)
+            if count > before[1]:
+                point["ack_ms"] = (total - before[0]) / (count - before[1]) * 1000.0
+            before = (total, count)
+            self.polls.append(point)
+
+    # ---- a run ------------------------------------------------------------------------------------------
+
+    async def build(self) -> None:
+        s = self.scenario
+        kinds = list(s.host.values())
+        shares = np.array([k.share for k in kinds])
+        counts = np.floor(shares / shares.sum() * s.fleet.hosts).astype(int)
+        counts[0] += s.fleet.hosts - counts.sum()
+        of = [k for k, n in enumerate(counts) for _ in range(n)]
+        for number, kind in enumerate(of):
+            await self.add_host(number % len(s.zones), self.spec(kind), cold=False)
+        await self.roster.start()
+        rules = Rules(
+            s.forwarders.pick, s.forwarders.usual_retry, s.forwarders.try_aims, s.forwarders.ejects,
+            transit=s.fleet.transit_ms, report_late=s.fleet.sums_late_ms,
+            aims=tuple(o.latency_objective_ms for o in s.operation.values()),
+        )  # fmt: skip
+        n = s.fleet.forwarders
+        rates = self.chance.lognormal(0.0, s.fleet.stream_cv, n) if s.fleet.stream_cv else np.ones(n)
+        rates /= rates.sum()
+        slices = self.chance.lognormal(0.0, s.fleet.slice_cv, s.fleet.slices)
+        slices /= slices.sum()
+        for k in range(n):
+            self.forwarders.append(
+                Forwarder(
+                    k, k % len(s.zones), float(rates[k] * s.traffic.per_s), ("127.0.0.1", self.port), 0, rules,
+                    self.zones, self.net, self.trace, self.seed,
+                )
+            )  # fmt: skip
+        order = [int(k) for k in self.chance.permutation(s.fleet.slices)]
+        operations = [
+            OperationSpec(
+                name, o.share, o.work_ms, o.cv, o.latency_objective_ms, o.integration_timeout_ms,
+                o.billed_value, o.late_value, o.repeat == "idempotent",
+            )
+            for name, o in s.operation.items()
+        ]  # fmt: skip
+        total = sum(o.share for o in operations)
+        operations = [OperationSpec(**{**vars(o), "share": o.share / total}) for o in operations]
+        traffic = draw(
+            self.seed, s.seconds * 1000.0, s.traffic.per_s, rates, slices, operations, hots(s, order)
+        )
+        spec = ClientSpec(s.traffic.retries, s.traffic.try_share, s.traffic.backoff_ms)
+        self.clients = Clients(self.forwarders, operations, spec, traffic, self.trace)
+
+    async def run(self) -> dict[str, Any]:
+        s = self.scenario
+        self.out.mkdir(parents=True, exist_ok=True)
+        for old in [*self.out.glob("store.db*"), *self.out.glob("steward-*.rec"), *self.out.glob("steward.log")]:
+            old.unlink()
+        await self.build()
+        store = str((self.out / "store.db").resolve())
+        where = [f"127.0.0.1:{p}" for p in (self.port, self.door, self.roster.port)]
+        text = steward_hcl(s, where[0], where[1], where[2], store, self.seed, self.laxer)
+        (self.out / "steward.hcl").write_text(text)
+        try:
+            await self.start_steward()
+            for f in self.forwarders:
+                for work in (f.run(), f.report()):
+                    self.spawn(work)
+            await self.settle()
+            self.begun = clock() + 100.0
+            self.spawn(self.poll())
+            faults = Faults(self)
+            for fault in s.fault:
+                self.spawn(faults.play(fault, self.begun))
+            await self.clients.run(self.begun)
+        finally:
+            for f in self.forwarders:
+                f.stopped = True
+            for task in self.tasks:
+                task.cancel()
+            await self.end_steward()
+            for h in self.hosts.values():
+                h.kill()
+        failed = [t for t in self.tasks if t.done() and not t.cancelled() and t.exception()]
+        if failed:
+            raise RuntimeError(f"a stand-in failed: {failed[0].exception()!r}") from failed[0].exception()
+        self.trace.end()
+        return self.judged()
+
+    def spawn(self, work: Any) -> None:
+        self.tasks.add(asyncio.get_running_loop().create_task(work))
+
+    async def settle(self) -> None:
+        """Every forwarder joined, every slice with a line."""
+        for _ in range(400):
+            await asyncio.sleep(0.025)
+            full = [sum(1 for t in f.tables.values() if t) for f in self.forwarders]
+            if min(full) == self.scenario.fleet.slices:
+                return
+        raise RuntimeError(f"tables were not laid within 10 s ({min(full)} of {self.scenario.fleet.slices} slices)")
+
+    async def end_steward(self) -> None:
+        if self.steward and self.steward.returncode is None:
+            self.steward.terminate()
+            try:
+                await asyncio.wait_for(self.steward.wait(), 5.0)
+            except TimeoutError:
+                await self.kill_steward()
+
+    def limits(self) -> Limits:
+        s = self.scenario
+        unsafe = tuple(k for k, o in enumerate(s.operation.values()) if o.repeat == "side-effecting")
+        return Limits(
+            s.rules.bare_most_ms, s.rules.drain_grace_ms, s.rules.drain_binds_alone, s.rules.fall_ms,
+            s.rules.fall_multiple, s.channel.queue_most_lines, s.channel.head_lines, s.channel.messages_most,
+            s.channel.messages_span_ms, s.fleet.slices, unsafe,
+        )  # fmt: skip
+
+    def judged(self) -> dict[str, Any]:
+        s, records = self.scenario, self.trace.records
+        verdicts, doubled = judge(records, self.limits())
+        result = report.summary(records, self.begun, self.seed, s.name, verdicts, doubled, list(s.operation))
+        result["publisher"], result["lives"] = s.publisher, self.lives
+        report.write(self.out, result, [f"{f.kind} at {f.at_s:g} s" for f in s.fault])
+        report.charts(self.out, records, self.begun, self.polls, [(f.kind, f.at_s, f.for_s) for f in s.fault])
+        self.trace.save(self.out / "trace.jsonl.gz")
+        return result
+
+
+def play(scenario: Scenario, out: Path, seed: int, laxer: bool = False) -> dict[str, Any]:
+    """Runs the scenario; returns what `result.json` holds."""
+    return uvloop.run(Lab(scenario, out, seed, laxer).run())
--- /dev/null
+++ b/corallanding/lab/standin.py
@@ -0,0 +1,12 @@
+"""The real steward, another decider in the module's place: `python -m corallanding.lab.standin NAME CONFIG [REC]`."""
+
+from __future__ import annotations
+
+import sys
+
+from ..steward.daemon import run
+from .publishers import PUBLISHERS
+
+if __name__ == "__main__":
+    name, config, *rest = sys.argv[1:]
+    sys.exit(run(config, rest[0] if rest else None, PUBLISHERS[name]))
--- /dev/null
+++ b/corallanding/probe/prober.py
@@ -0,0 +1,119 @@
+"""One probe is one `GET` on the host's address; its end is one of the module's `ProbeEnd`s.
+
+2xx is OK, 503 and 429 are FULL (draining, or too many probes at once), any other status ERROR; no answer in
+time is TIMEOUT, a refused or impossible connection UNREACHABLE, one that breaks RESET, an answer that is no
+HTTP OTHER. Load stands in the answer's `X-Load` header as `name=value` pairs, if at all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+import httptools
+
+from .. import interface as api
+from ..roster.view import loopback
+
+MOST_ANSWER = 16_384
+
+
+class Probing(asyncio.Protocol):
+    def __init__(self, path: str, done: asyncio.Future[tuple[api.ProbeEnd, dict[str, float]]]) -> None:
+        self.done, self.path = done, path
+        self.parser = httptools.HttpResponseParser(self)
+        self.seen, self.load = 0, dict[str, float]()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)
+        self.transport = transport
+        transport.write(f"GET {self.path} HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n".encode())
+
+    def finish(self, end: api.ProbeEnd) -> None:
+        if not self.done.done():
+            self.done.set_result((end, self.load))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"x-load":
+            for pair in value.decode("ascii", "replace").split()[:16]:
+                key, _, figure = pair.partition("=")
+                try:
+                    self.load[key] = float(figure)
+                except ValueError:
+                    continue
+
+    def on_headers_complete(self) -> None:
+        status = self.parser.get_status_code()
+        good, full = 200 <= status < 300, status in (429, 503)
+        self.finish(api.ProbeEnd.OK if good else api.ProbeEnd.FULL if full else api.ProbeEnd.ERROR)
+
+    def data_received(self, data: bytes) -> None:
+        self.seen += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.finish(api.ProbeEnd.OTHER)
+        if self.seen > MOST_ANSWER:
+            self.finish(api.ProbeEnd.OTHER)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.finish(api.ProbeEnd.RESET)
+
+
+class Prober:
+    """done(event) is called once for every probe asked. Beyond `most_in_flight` probes wait, each host once;
+    beyond `most_waiting` a probe ends OTHER at once, so that a question is never left open."""
+
+    def __init__(
+        self, done: Callable[[api.ProbeDone], None], clock: Callable[[], float], path: str = "/health",
+        timeout: float = 250.0, most_in_flight: int = 16, most_waiting: int = 1_000,
+    ) -> None:  # fmt: skip
+        self.done, self.clock, self.path, self.timeout = done, clock, path, timeout
+        self.most_in_flight, self.most_waiting = most_in_flight, most_waiting
+        self.waiting: deque[tuple[int, str]] = deque()
+        self.running: set[asyncio.Task[None]] = set()
+        self.most_running = 0
+
+    def ask(self, host: int, address: str) -> None:
+        if len(self.waiting) >= self.most_waiting:
+            self.done(api.ProbeDone(host, api.ProbeEnd.OTHER))
+            return
+        self.waiting.append((host, address))
+        self.fill()
+
+    def fill(self) -> None:
+        while self.waiting and len(self.running) < self.most_in_flight:
+            task = asyncio.get_running_loop().create_task(self.probe(*self.waiting.popleft()))
+            self.running.add(task)
+            self.most_running = max(self.most_running, len(self.running))
+            task.add_done_callback(self.over)
+
+    def over(self, task: asyncio.Task[None]) -> None:
+        self.running.discard(task)
+        self.fill()
+
+    async def probe(self, host: int, address: str) -> None:
+        loop, begun = asyncio.get_running_loop(), self.clock()
+        done: asyncio.Future[tuple[api.ProbeEnd, dict[str, float]]] = loop.create_future()
+        end, load, transport = api.ProbeEnd.OTHER, dict[str, float](), None
+        try:
+            async with asyncio.timeout(self.timeout / 1000.0):
+                transport, _ = await loop.create_connection(lambda: Probing(self.path, done), *loopback(address))
+                end, load = await done
+        except TimeoutError:
+            end = api.ProbeEnd.TIMEOUT
+        except ConnectionResetError:
+            end = api.ProbeEnd.RESET
+        except (OSError, ValueError):
+            end = api.ProbeEnd.UNREACHABLE
+        finally:
+            if transport:
+                transport.abort()
+        self.done(api.ProbeDone(host, end, self.clock() - begun, load))
+
+    def stop(self) -> None:
+        self.waiting.clear()
+        for task in self.running:
+            task.cancel()
--- /dev/null
+++ b/corallanding/steward/daemon.py
@@ -0,0 +1,596 @@
+"""The running steward: owns the loop, the clock and the sockets, and wires the cores together.
+
+What comes in becomes an event of the engine; what the engine hands out is kept, then sent. No decision here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import msgspec
+import uvloop
+
+from .. import interface as api
+from ..admin.door import Answer, Door, problem
+from ..balance import Assigner
+from ..channel import Channel, Overrun
+from ..channel import Limits as ChannelLimits
+from ..config import ConfigFault, StewardConfig, load_steward
+from ..config import settings as settings_of
+from ..probe.prober import Prober
+from ..roster.source import LineRoster
+from ..roster.view import View, loopback
+from ..store import SqliteStore, Store, StoreFault, StoreHeld
+from ..telemetry import Gate, Metrics, configure, log
+from ..wire import frames
+from ..wire.link import Limits
+from . import engine as core
+from .links import LinkProtocol
+from .record import Recorder
+
+ORIGIN = 1e9  # ms: where the clock begins, so that a start "long ago" (0) lies further back than any setting
+
+
+class Clock:
+    """Milliseconds since ORIGIN on the monotonic clock; never goes back, whatever it is read from."""
+
+    def __init__(self, source: Callable[[], float] = time.monotonic) -> None:
+        self.source, self.zero, self.last = source, source(), ORIGIN
+
+    def __call__(self) -> float:
+        self.last = max(self.last, ORIGIN + (self.source() - self.zero) * 1000.0)
+        return self.last
+
+
+def link_limits(c: StewardConfig) -> Limits:
+    f = c.forwarders
+    return Limits(
+        f.frame_most_bytes, f.hello_within_ms, f.silence_ms, f.frames_per_s,
+        buffer_most=f.buffer_most_bytes,
+    )  # fmt: skip
+
+
+# What a reload can change while the steward runs; all else needs a restart, and is said to.
+RELOADABLE = (
+    "log.", "door.connections_most", "door.header_most_bytes", "door.request_within_ms", "probe.timeout_ms",
+    "probe.most_in_flight", "probe.most_waiting", "forwarders.frame_most_bytes", "forwarders.hello_within_ms",
+    "forwarders.frames_per_s", "forwarders.buffer_most_bytes", "forwarders.reads_per_s", "store.retry",
+)  # fmt: skip
+
+
+def flat(value: Any, path: str = "") -> dict[str, Any]:
+    if isinstance(value, dict):
+        out: dict[str, Any] = {}
+        for key, inner in value.items():
+            out.update(flat(inner, f"{path}.{key}" if path else str(key)))
+        return out
+    return {path: value}
+
+
+class Steward:
+    """One steward. `start` raises `StoreFault` or `OSError` if it cannot run; `stopped` ends when it is over."""
+
+    def __init__(
+        self, config: StewardConfig, decider: Callable[[api.Settings, int], core.Decider] = Assigner,
+        record: str | None = None, path: str | None = None, store: Store | None = None,
+    ) -> None:  # fmt: skip
+        self.config, self.path, self.decider = config, path, decider
+        self.clock, self.metrics = Clock(), Metrics()
+        self.gate = Gate(self.clock)
+        self.limits = link_limits(config)
+        self.settings = settings_of(config)
+        self.store: Store = store or SqliteStore(config.store.path, config.store.sync)
+        self.recorder: Recorder | None = None
+        self.record = record
+        self.links: set[LinkProtocol] = set()
+        self.forwarders: dict[int, LinkProtocol] = {}
+        self.joining: deque[LinkProtocol] = deque()
+        self.reads, self.reads_at = config.forwarders.reads_per_s / 4, self.clock()
+        c = config.channel
+        self.channel = Channel(
+            ChannelLimits(
+                c.rate_lines_per_s, c.head_lines, c.queue_most_lines, c.messages_most, c.messages_span_ms
+            )
+        )
+        self.view = View(config.roster.hosts_most)
+        self.prober = Prober(
+            self.probed, self.clock, config.probe.path, config.probe.timeout_ms, config.probe.most_in_flight,
+            config.probe.most_waiting,
+        )  # fmt: skip
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = float("inf")
+        self.pump_timer: asyncio.TimerHandle | None = None
+        self.stepped_at = self.clock()
+        self.store_faults = 0
+        self.store_fault = ""
+        self.store_again = 0.0
+        self.roster_dirty = False
+        self.servers: list[asyncio.Server] = []
+        self.peer_transport: asyncio.DatagramTransport | None = None
+        self.stopped: asyncio.Future[int] | None = None
+        self.ready = False
+
+    # ---- life ------------------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.stopped = loop.create_future()
+        life = self.store.open()
+        s, c = self.config.slices, self.config
+        charge = range(s.first, s.count if s.last is None else s.last + 1)
+        now, wall = self.clock(), time.time() * 1000.0
+        if self.record:
+            # The seed of a life is its own: a restart must not draw the same chances again.
+            self.recorder = Recorder(self.record, self.settings, self.seed(life.number), c.record.most_mb * 1e6)
+        self.engine = core.Engine(
+            self.settings, self.seed(life.number), life, charge, self.view.addresses, self.decider
+        )
+        self.engine.recall_until = now + c.forwarders.silence_ms * 2
+        saved = self.view.restore(now, wall, life.roster_version, life.roster, life.addresses, life.starts)
+        self.engine.addresses = self.view.addresses
+        self.engine.begin(now, saved)
+        self.metrics.store_well.set(1)
+        r = c.roster
+        self.roster = LineRoster(
+            r.address, self, lambda: self.view.version, r.mode == "on_request", r.line_most_bytes, r.wait_ms,
+            r.wait_most_ms, r.timeout_ms, c.steward.seed,
+        )  # fmt: skip
+        host, port = loopback(c.steward.listen)
+        self.servers.append(await loop.create_server(lambda: LinkProtocol(self), host, port, backlog=1024))
+        if c.door:
+            routes = {"/healthz": self.healthz, "/metrics": self.metrics_page, "/tables": self.tables_page}
+            self.door = Door(routes, c.door.connections_most, c.door.header_most_bytes, c.door.request_within_ms)
+            host, port = loopback(c.door.listen)
+            self.servers.append(await loop.create_server(self.door.protocol, host, port))
+        if c.steward.peer_listen:
+            where = loopback(c.steward.peer_listen)
+            self.peer_transport, _ = await loop.create_datagram_endpoint(lambda: Peers(self), local_addr=where)
+        self.roster.start()
+        self.watch_links()
+        self.wake()
+        self.ready = True
+        log.info(
+            "ready", life=life.number, listen=[s.sockets[0].getsockname()[:2] for s in self.servers],
+            slices=len(self.engine.charge), tables=len(life.tables), hosts=len(life.roster),
+        )  # fmt: skip
+
+    def seed(self, life: int) -> int:
+        return self.config.steward.seed * 1_000_003 + life
+
+    def stop(self, code: int = 0) -> None:
+        """End cleanly: no new link, a last word to each forwarder, the store closed."""
+        if self.stopped is None or self.stopped.done():
+            return
+        log.info("stopping", code=code)
+        for server in self.servers:
+            server.close()
+        for link in list(self.links):
+            link.end("stopping")
+        if self.config.door:
+            self.door.close()
+        self.roster.stop()
+        self.prober.stop()
+        if self.peer_transport:
+            self.peer_transport.close()
+        for handle in (self.timer, self.pump_timer):
+            if handle:
+                handle.cancel()
+        self.timer_at = float("-inf")
+        self.keep_roster()
+        self.store.close()
+        if self.recorder:
+            self.recorder.close()
+        self.stopped.set_result(code)
+
+    def reload(self) -> None:
+        """Read the configuration again: take what can be taken, and name what cannot."""
+        if not self.path:
+            return
+        try:
+            new = load_steward(self.path)
+        except ConfigFault as fault:
+            log.error("reload refused; the old configuration stands", why=str(fault))
+            return
+        old_keys, new_keys = flat(self.config.model_dump()), flat(new.model_dump())
+        changed = [k for k in sorted(old_keys | new_keys) if old_keys.get(k) != new_keys.get(k)]
+        taken = [k for k in changed if k.startswith(RELOADABLE)]
+        merged = self.config.model_dump()
+        for key in taken:
+            at, (*path, last) = merged, key.split(".")
+            for part in path:
+                at = at[part]
+            at[last] = new_keys[key]
+        self.config = StewardConfig.model_validate(merged)
+        configure(self.config.log.format, self.config.log.level)
+        self.limits = link_limits(self.config)
+        for link in self.links:
+            link.link.limits = self.limits
+            link.link.reader.most = self.limits.frame_most
+        p = self.config.probe
+        self.prober.timeout, self.prober.most_in_flight = p.timeout_ms, p.most_in_flight
+        self.prober.most_waiting = p.most_waiting
+        if d := self.config.door:
+            self.door.connections, self.door.header_most = d.connections_most, d.header_most_bytes
+            self.door.within = d.request_within_ms
+        log.info("reloaded", taken=taken, needs_restart=[k for k in changed if k not in taken])
+
+    # ---- turns -----------------------------------------------------------------------------------------
+
+    def wake(self) -> None:
+        """A step comes at the engine's next due time, and never sooner than a turn after the last."""
+        due = self.engine.next_at(self.clock())
+        if due is None or self.stopped is None or self.stopped.done():
+            return
+        at = max(due, self.stepped_at + self.config.steward.turn_ms)
+        if at >= self.timer_at:
+            return
+        if self.timer:
+            self.timer.cancel()
+        self.timer_at = at
+        self.timer = asyncio.get_running_loop().call_later(max(0.0, at - self.clock()) / 1000.0, self.step)
+
+    def step(self) -> None:
+        begun = self.clock()
+        self.metrics.late.observe(max(0.0, begun - self.timer_at) / 1000.0)
+        self.timer, self.timer_at, self.stepped_at = None, float("inf"), begun
+        self.engine.store_waits = begun < self.store_again
+        try:
+            writes = self.engine.decide(begun)
+        except Exception:
+            # A module that fails has no state to go on from: a new life starts from the store.
+            log.exception("the module failed")
+            self.stop(3)
+            return
+        assert self.engine.last is not None
+        now, events, actions = self.engine.last
+        if self.recorder and (events or actions):
+            self.recorder.step(now, events, actions)
+            if self.recorder.full:
+                log.error("recording is full; it ends here", most_mb=self.config.record.most_mb)
+                self.recorder.close()
+                self.recorder = None
+        for e in events:
+            self.metrics.events.labels(type(e).__name__).inc()
+        for a in actions:
+            self.metrics.actions.labels(type(a).__name__).inc()
+        for output in self.engine.publish(self.keep(begun, writes)):
+            self.carry_out(begun, output)
+        self.metrics.step.observe((self.clock() - begun) / 1000.0)
+        self.metrics.unsaved.set(len(self.engine.unsaved))
+        self.metrics.dropped_sums.set(self.engine.gather.dropped)
+        self.metrics.discarded.set(self.engine.discarded)
+        self.pump()
+        self.wake()
+
+    def keep(self, now: float, writes: core.Writes) -> bool:
+        """Write to the store; false while it does not take it. Tries again with a growing, capped wait."""
+        if not writes.lines and not writes.resets:
+            return not self.store_faults
+        if now < self.store_again:
+            return False
+        try:
+            self.store.write(writes.seq, writes.lines, writes.resets)
+        except StoreHeld as fault:
+            # Another steward has the slices: what this one says from now on would be a second voice.
+            log.error("store taken by another steward", why=str(fault))
+            self.stop(4)
+            return False
+        except StoreFault as fault:
+            s = self.config.store
+            wait = min(s.retry_most_ms, s.retry_ms * 2 ** min(self.store_faults, 20))
+            self.store_faults, self.store_again, self.store_fault = self.store_faults + 1, now + wait, str(fault)
+            self.metrics.store_faults.inc()
+            self.metrics.store_well.set(0)
+            asyncio.get_running_loop().call_later(wait / 1000.0 + 0.002, self.retry_store)
+            log.error(
+                "store does not write; tables go out unsaved", why=str(fault), faults=self.store_faults,
+                unsaved=len(self.engine.unsaved),
+            )  # fmt: skip
+            return False
+        if self.store_faults:
+            log.info("store writes again", faults=self.store_faults)
+            self.store_faults, self.store_fault = 0, ""
+            self.metrics.store_well.set(1)
+        return True
+
+    def retry_store(self) -> None:
+        self.engine.store_waits = False
+        if self.stopped and not self.stopped.done():
+            self.wake()
+
+    def carry_out(self, now: float, output: core.Output) -> None:
+        match output:
+            case core.Send():
+                try:
+                    self.channel.submit(now, output.frame, output.lines, output.mark, output.to)
+                except Overrun as over:
+                    for forwarder in over.forwarders:
+                        if link := self.forwarders.get(forwarder):
+                            self.gate.warn("link cut off", forwarder=forwarder, why="the channel is full")
+                            link.end("overrun", "the channel is full: read the store")
+            case core.ProbeHost():
+                if output.address:
+                    self.prober.ask(output.host, output.address)
+                else:
+                    self.probed(api.ProbeDone(output.host, api.ProbeEnd.UNREACHABLE))
+            case core.FollowRoster():
+                self.roster.follow(output.on)
+            case core.FetchRoster():
+                self.roster.fetch()
+            case core.ToPeer():
+                self.to_peers(output)
+            case core.Say():
+                log.info("note", text=output.text)
+
+    def pump(self) -> None:
+        """Send what the channel lets go by now, and come again when it lets go more."""
+        now = self.clock()
+        for forwarder, message in self.channel.due(now):
+            link = self.forwarders.get(forwarder)
+            if link is None:
+                continue
+            if message.mark >= 0 and not link.link.marked(message.at, message.mark):
+                link.end("no-acks", "too many marks are not acked")
+                continue
+            link.send(message.frame)
+        m = self.metrics
+        m.waiting.set(self.channel.waiting)
+        m.most_waiting.set(self.channel.most)
+        m.lines.inc(self.channel.lines_sent)
+        m.messages.inc(self.channel.messages_sent)
+        self.channel.lines_sent = self.channel.messages_sent = 0
+        if self.pump_timer:
+            self.pump_timer.cancel()
+            self.pump_timer = None
+        at = self.channel.next_at(now)
+        if at is not None and self.stopped and not self.stopped.done():
+            loop = asyncio.get_running_loop()
+            self.pump_timer = loop.call_later(max(0.0005, (at - now) / 1000.0), self.pump)
+
+    # ---- forwarders ------------------------------------------------------------------------------------
+
+    def frame(self, link: LinkProtocol, frame: frames.Frame) -> None:
+        now = self.clock()
+        match frame:
+            case frames.Hello():
+                self.hello(link, frame)
+            case frames.Ack() if link.joined:
+                # The link has checked it and knows since when the mark was out.
+                number, at = link.link.acks.popleft()
+                self.engine.event(now, api.Acked(link.forwarder, number, now - at))
+                self.metrics.ack.observe((now - at) / 1000.0)
+            case frames.Sums() if link.joined:
+                self.engine.sums(now, link.forwarder, frame)
+            case frames.Read():
+                link.joined = False
+                self.joining.append(link)
+                self.admit()
+            case frames.Held():
+                if changed := self.engine.held(now, frame):
+                    log.warning("tables recalled", forwarder=link.forwarder, seq=frame.seq, slices=len(changed))
+                self.join(link)
+            case frames.Bye():
+                link.end("bye")
+        self.wake()
+
+    def hello(self, link: LinkProtocol, hello: frames.Hello) -> None:
+        if hello.zone >= len(self.config.zones):
+            link.end("malformed", f"zone {hello.zone}: there are {len(self.config.zones)}")
+            return
+        if hello.forwarder >= self.config.forwarders.most:
+            link.end("full", f"forwarder {hello.forwarder}: numbers end at {self.config.forwarders.most - 1}")
+            return
+        former = self.forwarders.get(hello.forwarder)
+        if former and former.link.hello and former.link.hello.session != hello.session:
+            # Two processes under one number: the one at work stays; silence takes it away soon enough.
+            self.gate.warn("forwarder number in use", forwarder=hello.forwarder)
+            link.end("number-in-use", "another process holds this number")
+            return
+        if former:
+            former.end("superseded", "the same forwarder joined again")
+        self.forwarders[hello.forwarder] = link
+        self.joining.append(link)
+        self.admit()
+
+    def admit(self) -> None:
+        """Joins are let in at the pace of the settings: each reads all tables."""
+        now, rate = self.clock(), self.config.forwarders.reads_per_s
+        self.reads = min(max(1.0, rate / 4), self.reads + (now - self.reads_at) * rate / 1000.0)
+        self.reads_at = now
+        while self.joining and self.reads >= 1.0:
+            link = self.joining.popleft()
+            if link.over or link.link.hello is None or self.forwarders.get(link.forwarder) is not link:
+                continue
+            self.reads -= 1.0
+            self.welcome(link, link.link.hello)
+        if self.joining:
+            asyncio.get_running_loop().call_later(max(0.001, (1.0 - self.reads) / rate), self.admit)
+
+    def welcome(self, link: LinkProtocol, hello: frames.Hello) -> None:
+        c = self.config
+        welcome = frames.Welcome(
+            frames.VERSION, c.steward.number, self.engine.life.number, c.forwarders.beat_ms,
+            c.forwarders.silence_ms, c.reports.every_ms, self.settings.slices,
+        )  # fmt: skip
+        link.send(frames.encode(welcome))
+        if self.engine.wants_recall(self.clock(), hello):
+            link.link.recalled = True
+            link.send(frames.encode(frames.Recall()))
+            asyncio.get_running_loop().call_later(c.forwarders.beat_ms / 1000.0, self.join, link)
+        else:
+            self.join(link)
+
+    def join(self, link: LinkProtocol) -> None:
+        """The forwarder gets its tables, and counts as joined from here on."""
+        hello = link.link.hello
+        if link.over or link.joined or hello is None or self.forwarders.get(link.forwarder) is not link:
+            return
+        now = self.clock()
+        link.joined = True
+        link.link.marks.clear()
+        self.channel.join(link.forwarder)
+        link.send(self.engine.join(now, hello))
+        self.metrics.reads.inc()
+        self.metrics.links.set(len(self.engine.joined))
+        log.info("forwarder joined", forwarder=link.forwarder, zone=hello.zone, fresh=hello.fresh)
+        self.wake()
+
+    def gone(self, link: LinkProtocol) -> None:
+        """A link is over: its forwarder has left, unless a later link of its has taken the place."""
+        self.links.discard(link)
+        f = link.forwarder
+        if self.forwarders.get(f) is link:
+            del self.forwarders[f]
+            self.channel.leave(f)
+            self.engine.leave(self.clock(), f)
+            self.metrics.links.set(len(self.engine.joined))
+            log.info("forwarder left", forwarder=f)
+            self.wake()
+
+    def watch_links(self) -> None:
+        """Beats out, silence noticed; a quarter of the beat at a time."""
+        if self.stopped is None or self.stopped.done():
+            return
+        now, beat = self.clock(), self.config.forwarders.beat_ms
+        data = frames.encode(frames.Beat(now))
+        for link in list(self.links):
+            if why := link.link.overdue(now):
+                self.gate.warn("link closed", forwarder=link.forwarder, why=why)
+                link.end("silent" if why == "silent" else "no-hello", why)
+            elif link.joined and now - link.beat_at >= beat:
+                link.beat_at = now
+                link.send(data)
+        if self.roster_dirty:
+            self.keep_roster()
+        asyncio.get_running_loop().call_later(beat / 4000.0, self.watch_links)
+
+    # ---- roster, probes, peers -------------------------------------------------------------------------
+
+    def roster_rows(self, full: bool, version: int, rows: list[Any]) -> None:
+        now = self.clock()
+        before = dict(self.view.addresses)
+        event = self.view.take(now, time.time() * 1000.0, full, version, rows)
+        for text in self.view.bad:
+            self.metrics.bad_rows.inc()
+            self.gate.warn("roster entry left out", why=text)
+        self.metrics.roster_version.set(version)
+        self.metrics.hosts.set(len(self.view.entries))
+        moved = [h for h, a in self.view.addresses.items() if before.get(h, a) != a]
+        if moved:
+            self.engine.readdress(moved)
+        self.engine.event(now, event)
+        self.roster_dirty = True
+        self.wake()
+
+    def roster_failed(self, why: str) -> None:
+        self.metrics.roster_faults.inc()
+        self.gate.warn("roster failed", why=why)
+        if self.settings.list_on_request:
+            self.engine.event(self.clock(), api.Membership(api.ListForm.FAILED, self.view.version))
+            self.wake()
+
+    def keep_roster(self) -> None:
+        """Keep the list now and then, beside the steps: a crash may lose the last changes of it, no more."""
+        if self.clock() < self.store_again:
+            return
+        entries: Sequence[api.HostEntry] = tuple(self.view.entries.values())
+        try:
+            self.store.keep_roster(self.view.version, entries, self.view.addresses, self.view.starts)
+            self.roster_dirty = False
+        except StoreFault as fault:
+            self.gate.warn("list not kept", why=str(fault))
+
+    def probed(self, e: api.ProbeDone) -> None:
+        self.metrics.probes.labels(e.end.value).inc()
+        self.engine.event(self.clock(), e)
+        self.wake()
+
+    def to_peers(self, output: core.ToPeer) -> None:
+        if self.peer_transport is None:
+            return
+        data = msgspec.msgpack.encode([self.config.steward.number, output.payload])
+        for number, address in self.config.steward.peers.items():
+            if output.peer is None or str(output.peer) == number:
+                self.peer_transport.sendto(data, loopback(address))
+
+    def peer_said(self, data: bytes) -> None:
+        try:
+            sender, payload = msgspec.msgpack.decode(data, type=tuple[int, bytes])
+        except msgspec.DecodeError:
+            self.metrics.peer_drops.inc()
+            return
+        if str(sender) not in self.config.steward.peers or len(payload) > 256:
+            self.metrics.peer_drops.inc()
+            return
+        self.engine.event(self.clock(), api.PeerMessage(sender, payload))
+        self.wake()
+
+    # ---- door ------------------------------------------------------------------------------------------
+
+    def healthz(self) -> Answer:
+        wrong = [f"store: {self.store_fault}"] if self.store_faults else []
+        if not self.ready:
+            wrong.append("starting")
+        return problem(503, "; ".join(wrong)) if wrong else Answer(200, b"ok\n", "text/plain")
+
+    def metrics_page(self) -> Answer:
+        return Answer(200, self.metrics.text(), "text/plain; version=0.0.4")
+
+    def tables_page(self) -> Answer:
+        state = self.engine.state
+        page = {
+            "life": self.engine.life.number, "seq": self.engine.seq, "cordons": sorted(state.cordons),
+            "levels": [[t, bits, a, r] for (t, bits), (a, r) in state.levels.items()],
+            "tables": {str(t): {str(h): w for h, w in sorted(row.items())} for t, row in state.tables.items()},
+        }  # fmt: skip
+        return Answer(200, json.dumps(page).encode() + b"\n")
+
+
+class Peers(asyncio.DatagramProtocol):
+    def __init__(self, steward: Steward) -> None:
+        self.steward = steward
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.steward.peer_said(data)
+
+
+async def serve(
+    path: str, record: str | None, decider: Callable[[api.Settings, int], core.Decider] = Assigner
+) -> int:
+    config = load_steward(path)
+    configure(config.log.format, config.log.level)
+    steward = Steward(config, decider, record, path)
+    try:
+        await steward.start()
+    except StoreFault as fault:
+        log.error("cannot start", why=str(fault))
+        return 4
+    except OSError as fault:
+        log.error("cannot start", why=str(fault))
+        return 5
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, steward.stop)
+    loop.add_signal_handler(signal.SIGINT, steward.stop)
+    loop.add_signal_handler(signal.SIGHUP, steward.reload)
+    assert steward.stopped is not None
+    code = await steward.stopped
+    await asyncio.sleep(0.05)  # last words of the links
+    return code
+
+
+def run(
+    path: str, record: str | None = None, decider: Callable[[api.Settings, int], core.Decider] = Assigner
+) -> int:
+    """The daemon until it ends; its exit code: 0 clean, 2 configuration, 3 module, 4 store, 5 address."""
+    try:
+        return uvloop.run(serve(path, record, decider))
+    except ConfigFault as fault:
+        print(fault, file=sys.stderr)
+        return 2
--- /dev/null
+++ b/corallanding/steward/engine.py
@@ -0,0 +1,402 @@
+"""The steward's core: what happened goes in, the module decides, what is to be done comes out. No I/O, no clock.
+
+A step has two halves, so that nothing is sent before it is kept: `decide` hands out what the store must write,
+`publish` (told whether the store did) the messages and the rest. The decisions are the module's alone.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from .. import interface as api
+from ..store.api import Life
+from ..wire import frames
+from .gather import Gather
+
+
+class Decider(Protocol):
+    """The module, or a test double in its place."""
+
+    def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]: ...
+
+
+@dataclass(frozen=True)
+class Writes:
+    """To be kept before anything of the step is sent: emptied tables, then lines (table, host, weight)."""
+
+    seq: int
+    lines: tuple[tuple[int, int, float], ...] = ()
+    resets: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True)
+class Send:
+    """One frame for some forwarders, by the channel. `lines` is what it costs beside the head."""
+
+    frame: bytes
+    lines: int
+    mark: int
+    to: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class ProbeHost:
+    host: int
+    address: str
+
+
+@dataclass(frozen=True)
+class FollowRoster:
+    on: bool
+
+
+@dataclass(frozen=True)
+class FetchRoster:
+    pass
+
+
+@dataclass(frozen=True)
+class ToPeer:
+    peer: int | None
+    payload: bytes
+
+
+@dataclass(frozen=True)
+class Say:
+    text: str
+
+
+Output = Send | ProbeHost | FollowRoster | FetchRoster | ToPeer | Say
+
+
+@dataclass
+class Published:
+    """The tables as ordered so far: what a forwarder that joins now is given."""
+
+    tables: dict[int, dict[int, float]] = field(default_factory=dict)
+    levels: dict[tuple[int, int], tuple[float, int]] = field(default_factory=dict)  # (table, bits): amount, retry
+    cordons: set[int] = field(default_factory=set)
+    points: dict[int, dict[int, int]] = field(default_factory=dict)  # forwarder: {table: bits}
+
+
+class Engine:
+    """settings, seed: the module's. charge: the slices that this steward holds (none at sites without).
+
+    `addresses` is shared with the roster's view: host to "ip:port".
+    """
+
+    def __init__(
+        self, settings: api.Settings, seed: int, life: Life, charge: Iterable[int], addresses: dict[int, str],
+        decider: Callable[[api.Settings, int], Decider],
+    ) -> None:  # fmt: skip
+        self.set, self.module = settings, decider(settings, seed)
+        self.addresses = addresses
+        self.life, self.seq = life, 0
+        self.charge = set(charge)
+        self.now = 0.0
+        self.inbox: list[tuple[float, int, api.Event]] = []
+        self.timers: list[tuple[float, int, int]] = []
+        self.counter = 0
+        self.joined: dict[int, int] = {}  # forwarder: its zone
+        self.state = Published()
+        for table, lines in life.tables.items():
+            if table in self.charge or not settings.slices:
+                self.state.tables[table] = dict(lines)
+        self.gather = Gather(settings)
+        self.gather_at = 0.0
+        self.recall_until, self.recalled_seq = float("inf"), life.seq
+        self.discarded = 0  # orders for slices outside the charge
+        self.steps = 0
+        self.last: tuple[float, list[api.Event], list[api.Action]] | None = None  # for the recorder
+        self.snapshot: tuple[int, bytes] | None = None
+        self.pending: list[Output] = []
+        self.unsaved: dict[int, dict[int, float]] = {}  # tables whose last writes the store did not take
+        self.unsaved_resets: set[int] = set()
+
+    # ---- what happened ---------------------------------------------------------------------------------
+
+    def event(self, at: float, e: api.Event) -> None:
+        """Something happened at `at`. Steps deliver events in the order of their times."""
+        self.counter += 1
+        self.inbox.append((at, self.counter, e))
+
+    def begin(self, now: float, saved: api.Membership) -> None:
+        """The first events of a life: the saved list, the charge, the tables on record."""
+        self.event(now, saved)
+        for slice in sorted(self.charge):
+            self.given(now, slice)
+
+    def given(self, now: float, slice: int) -> None:
+        self.event(now, api.SliceGiven(slice, True))
+        for host, weight in sorted(self.state.tables.get(slice, {}).items()):
+            self.event(now, api.OnRecord(slice, host, weight))
+
+    def charged(self, now: float, slice: int, on: bool, lines: dict[int, float] | None = None) -> None:
+        """The store gives a slice into this steward's charge, or takes it away."""
+        if on:
+            self.charge.add(slice)
+            self.state.tables[slice] = dict(lines or {})
+            self.given(now, slice)
+            self.pending.append(self.reread([slice]))
+        elif slice in self.charge:
+            self.charge.discard(slice)
+            self.state.tables.pop(slice, None)
+            for key in [k for k in self.state.levels if k[0] == slice]:
+                del self.state.levels[key]
+            self.event(now, api.SliceGiven(slice, False))
+            self.pending.append(self.order(to=tuple(self.joined), withdrawn=[slice]))
+        self.snapshot = None
+
+    def join(self, now: float, hello: frames.Hello) -> bytes:
+        """A forwarder is joined; the answer is the frame with the tables as they stand, sent before all else."""
+        f = hello.forwarder
+        if f in self.joined:
+            self.leave(now, f)
+        self.joined[f] = hello.zone
+        self.event(now, api.ProxyJoined(f, hello.zone, hello.rate, hello.fresh))
+        return self.tables(f)
+
+    def wants_recall(self, now: float, hello: frames.Hello) -> bool:
+        """Whether this forwarder holds later tables of the former life than the store gave back.
+
+        Guards against a store that stopped writing before the steward died; could bring back lines of hosts
+        that have left since, which the module takes out by its list as at any start.
+        """
+        return (
+            now <= self.recall_until and hello.life == self.life.number - 1 and hello.seq > self.recalled_seq
+        )
+
+    def held(self, now: float, held: frames.Held) -> list[int]:
+        """Takes what a forwarder held of the former life. Returns the slices that were given anew."""
+        if held.life != self.life.number - 1 or held.seq <= self.recalled_seq or now > self.recall_until:
+            return []
+        self.recalled_seq = held.seq
+        changed = []
+        for table, rows in held.tables:
+            lines = {host: weight for host, weight in rows if weight > 0 and host in self.addresses}
+            if table in self.charge and lines and lines != self.state.tables.get(table):
+                self.state.tables[table] = lines
+                self.unsaved[table] = lines
+                self.unsaved_resets.add(table)
+                self.given(now, table)
+                changed.append(table)
+        if changed:
+            self.snapshot = None
+            self.pending.append(self.reread(changed))
+        return changed
+
+    def leave(self, now: float, forwarder: int) -> None:
+        if self.joined.pop(forwarder, None) is not None:
+            self.state.points.pop(forwarder, None)
+            self.event(now, api.ProxyLeft(forwarder))
+
+    def sums(self, now: float, forwarder: int, sums: frames.Sums) -> None:
+        if forwarder in self.joined:
+            hosts = set(self.addresses)
+            self.gather.add(now, forwarder, self.joined[forwarder], sums, hosts, self.charge)
+
+    # ---- a step ----------------------------------------------------------------------------------------
+
+    def next_at(self, now: float) -> float | None:
+        """When the next step is due, if nothing happens before."""
+        at = [self.timers[0][0]] if self.timers else []
+        if self.inbox or self.pending or self.unsaved_due():
+            at.append(now)
+        if self.gather.tallies:
+            at.append(self.gather_at)
+        return min(at, default=None)
+
+    def unsaved_due(self) -> bool:
+        return bool(self.unsaved or self.unsaved_resets) and not self.store_waits
+
+    store_waits = False  # set by the owner while it holds off from a store that fails
+
+    def decide(self, now: float) -> Writes:
+        """Run the module on all that came until `now`; returns what is to be kept first."""
+        now = self.now = max(now, self.now)  # a clock that steps back stands still for the module
+        while self.timers and self.timers[0][0] <= now:
+            at, count, handle = heapq.heappop(self.timers)
+            self.inbox.append((at, count, api.Due(handle)))
+        if now >= self.gather_at:
+            for e in self.gather.due(now):
+                self.event(now, e)
+            self.gather_at = now + self.set.report_every / 8
+        self.inbox.sort(key=lambda item: item[:2])
+        events = [e for _, _, e in self.inbox]
+        self.inbox = []
+        actions = self.module.step(now, events) if events or not self.steps else []
+        self.steps += 1
+        self.last = (now, events, actions)
+        return self.carry_out(now, actions)
+
+    def carry_out(self, now: float, actions: list[api.Action]) -> Writes:
+        lines: dict[tuple[int, int], float] = {}
+        resets: list[int] = []
+        levels: list[frames.LevelRow] = []
+        cordons: list[tuple[int, bool]] = []
+        points: dict[int, list[tuple[int, int]]] = {}
+        mark, everyone = -1, False
+        out = self.pending
+        for a in actions:
+            match a:
+                case api.SetLine():
+                    if self.mine(a.slice):
+                        lines[a.slice, a.host] = a.weight
+                        self.line(a.slice, a.host, a.weight)
+                case api.ResetTable():
+                    if self.mine(a.slice):
+                        resets.append(a.slice)
+                        lines = {k: w for k, w in lines.items() if k[0] != a.slice}
+                        self.state.tables[a.slice] = {}
+                case api.Level():
+                    if a.slice == api.ALL_TABLES or self.mine(a.slice):
+                        levels.append((a.slice, a.operations, a.amount, int(a.retry)))
+                        self.state.levels[a.slice, a.operations] = (a.amount, int(a.retry))
+                case api.Cordon():
+                    cordons.append((a.host, a.on))
+                    (self.state.cordons.add if a.on else self.state.cordons.discard)(a.host)
+                case api.Point():
+                    if a.proxy in self.joined:
+                        points.setdefault(a.proxy, []).append((a.table, a.operations))
+                        self.state.points.setdefault(a.proxy, {})[a.table] = a.operations
+                case api.Mark():
+                    mark, everyone = a.number, a.everyone
+                case api.Remind():
+                    self.counter += 1
+                    heapq.heappush(self.timers, (now + a.after, self.counter, a.handle))
+                case api.Probe():
+                    out.append(ProbeHost(a.host, self.addresses.get(a.host, "")))
+                case api.Follow():
+                    out.append(FollowRoster(a.on))
+                case api.FetchList():
+                    out.append(FetchRoster())
+                case api.Tell():
+                    out.append(ToPeer(a.peer, a.payload[:256]))
+                case api.Note():
+                    out.append(Say(a.text))
+        rows = [(t, h, w) for (t, h), w in lines.items()]
+        out += self.messages(rows, resets, levels, cordons, points, mark, everyone)
+        if rows or resets or cordons or levels:
+            self.snapshot = None
+        for table in resets:
+            self.unsaved_resets.add(table)
+            self.unsaved[table] = {}
+        for table, host, weight in rows:
+            self.unsaved.setdefault(table, {})[host] = weight
+        kept = tuple((t, h, w) for t, row in self.unsaved.items() for h, w in row.items())
+        return Writes(self.seq, kept, tuple(self.unsaved_resets))
+
+    def mine(self, table: int) -> bool:
+        if self.set.slices and table not in self.charge:
+            self.discarded += 1
+            return False
+        return True
+
+    def line(self, table: int, host: int, weight: float) -> None:
+        lines = self.state.tables.setdefault(table, {})
+        if weight <= 0:
+            lines.pop(host, None)
+            return
+        if self.set.sole_owner:
+            lines.clear()
+        lines[host] = weight
+
+    def messages(
+        self, lines: list[tuple[int, int, float]], resets: list[int], levels: list[frames.LevelRow],
+        cordons: list[tuple[int, bool]], points: dict[int, list[tuple[int, int]]], mark: int, everyone: bool,
+    ) -> list[Output]:  # fmt: skip
+        """One message a forwarder concerned; forwarders with the same tables share one frame."""
+        if not (lines or resets or levels or cordons or points or (mark >= 0 and everyone)):
+            return []
+        self.seq += 1
+        if self.set.slices:
+            to = tuple(self.joined)
+            return [self.order(to, mark, resets, lines, levels, cordons)] if to else []
+        groups: dict[tuple[Any, ...], list[int]] = {}
+        for f in self.joined:
+            tables = self.state.points.get(f, {})
+            mine = tuple(row for row in lines if row[0] in tables)
+            emptied = tuple(t for t in resets if t in tables)
+            level = tuple(row for row in levels if row[0] == api.ALL_TABLES or row[0] in tables)
+            put = tuple(points.get(f, ()))
+            # A table that a forwarder is put on comes whole.
+            whole = {(t, h, w) for t, _ in put for h, w in self.state.tables.get(t, {}).items()}
+            mine = (*[row for row in mine if row[:2] not in {w[:2] for w in whole}], *sorted(whole))
+            if mine or emptied or level or put or cordons or everyone:
+                groups.setdefault((mine, emptied, level, put), []).append(f)
+        return [
+            self.order(tuple(to), mark, list(emptied), list(mine), list(level), cordons, list(put))
+            for (mine, emptied, level, put), to in groups.items()
+        ]
+
+    def order(
+        self, to: tuple[int, ...], mark: int = -1, resets: Sequence[int] = (),
+        lines: Sequence[tuple[int, int, float]] = (), levels: Sequence[frames.LevelRow] = (),
+        cordons: Sequence[tuple[int, bool]] = (), points: Sequence[tuple[int, int]] = (),
+        withdrawn: Sequence[int] = (),
+    ) -> Send:  # fmt: skip
+        frame = frames.Orders(
+            self.seq, mark, list(resets), list(lines), list(levels), list(cordons), list(points),
+            {h: self.addresses[h] for _, h, w in lines if w > 0 and h in self.addresses}, list(withdrawn),
+        )  # fmt: skip
+        cost = len(resets) + len(lines) + len(levels) + len(cordons) + len(points) + len(withdrawn)
+        return Send(frames.encode(frame), cost + (mark >= 0), mark, to)
+
+    def readdress(self, hosts: Sequence[int]) -> None:
+        """Hosts answer elsewhere now: one line for each that a table names."""
+        named = {h for lines in self.state.tables.values() for h in lines}
+        moved = {h: self.addresses[h] for h in hosts if h in named}
+        if moved and self.joined:
+            self.seq += 1
+            frame = frames.encode(frames.Orders(self.seq, addresses=moved))
+            self.pending.append(Send(frame, len(moved), -1, tuple(self.joined)))
+        self.snapshot = None
+
+    def tables(self, forwarder: int) -> bytes:
+        """All that a joining forwarder holds from now on. Shared by all that join between two changes."""
+        points = self.state.points.get(forwarder, {})
+        if not points and self.snapshot and self.snapshot[0] == self.seq:
+            return self.snapshot[1]
+        tables = self.state.tables
+        if not self.set.slices:
+            tables = {t: tables.get(t, {}) for t in points}
+        elif any(s not in tables for s in self.charge):
+            tables = {s: tables.get(s, {}) for s in sorted(self.charge)}
+        rows = [(t, sorted(lines.items())) for t, lines in sorted(tables.items())]
+        named = {h for _, lines in rows for h, _ in lines}
+        frame = frames.encode(
+            frames.Tables(
+                self.seq, rows, [(t, bits, a, r) for (t, bits), (a, r) in self.state.levels.items()],
+                sorted(self.state.cordons), {h: self.addresses[h] for h in sorted(named) if h in self.addresses},
+                list(points.items()),
+            )
+        )  # fmt: skip
+        if not points:
+            self.snapshot = (self.seq, frame)
+        return frame
+
+    def reread(self, slices: list[int]) -> Send:
+        """Slices given anew: every joined forwarder reads them from the store."""
+        self.seq += 1
+        rows = [(s, sorted(self.state.tables.get(s, {}).items())) for s in slices]
+        named = {h for _, lines in rows for h, _ in lines}
+        frame = frames.Tables(
+            self.seq, rows, addresses={h: self.addresses[h] for h in sorted(named) if h in self.addresses},
+            given=slices,
+        )  # fmt: skip
+        return Send(frames.encode(frame), sum(1 + len(lines) for _, lines in rows), -1, tuple(self.joined))
+
+    def publish(self, stored: bool) -> list[Output]:
+        """The rest of the step, after the store wrote (`stored`) or could not.
+
+        While it cannot, what the module decides goes out all the same: a drain must not wait for a disk. What
+        is not kept is written with the next step that finds the store well; forwarders, who hold it, give it
+        back if the steward dies first (`wants_recall`).
+        """
+        if stored:
+            self.unsaved, self.unsaved_resets = {}, set()
+        out, self.pending = self.pending, []
+        return out
--- /dev/null
+++ b/corallanding/steward/gather.py
@@ -0,0 +1,82 @@
+"""Sums from forwarders, added up and handed to the module a period at a time: oldest first, so many a second.
+
+Pure. Bounded by hosts x zones and slices x operations: what does not fit the intake adds up where it is.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .. import interface as api
+from ..wire.frames import Sums
+
+
+@dataclass
+class Tally:
+    since: float  # when the period began that this tally covers
+    total: int = 0
+    errored: int = 0
+    weighed: float = 0.0  # latency times good answers
+
+
+Key = tuple[str, int, int]  # "host", zone, host / "slice", slice, operation / "own", forwarder, operation
+
+
+class Gather:
+    def __init__(self, settings: api.Settings, keys_most: int = 100_000) -> None:
+        self.set, self.keys_most = settings, keys_most
+        self.tallies: dict[Key, Tally] = {}  # in the order of their first word: the oldest first
+        self.allowance, self.counted = 0.0, 0.0
+        self.dropped = 0  # rows beyond the bound, or of hosts, slices or operations that do not exist
+
+    def add(self, now: float, forwarder: int, zone: int, sums: Sums, hosts: set[int], slices: set[int]) -> None:
+        """Take one forwarder's sums. Rows on unknown hosts, slices or operations are counted and dropped."""
+        operations = len(self.set.operations)
+        for host, tries, errored, latency in sums.hosts:
+            if host not in hosts or errored > tries or zone >= self.set.zones:
+                self.dropped += 1
+            elif tally := self.tally(now, ("host", zone, host), sums.span):
+                good = tries - errored
+                tally.total, tally.errored = tally.total + tries, tally.errored + errored
+                tally.weighed += latency * good
+        for slice, operation, came, unanswered in sums.slices:
+            if slice not in slices or operation >= operations or unanswered > came:
+                self.dropped += 1
+            elif tally := self.tally(now, ("slice", slice, operation), sums.span):
+                tally.total, tally.errored = tally.total + came, tally.errored + unanswered
+        for operation, came, unanswered in sums.own:
+            if operation >= operations or unanswered > came:
+                self.dropped += 1
+            elif tally := self.tally(now, ("own", forwarder, operation), sums.span):
+                tally.total, tally.errored = tally.total + came, tally.errored + unanswered
+
+    def tally(self, now: float, key: Key, span: float) -> Tally | None:
+        if key not in self.tallies:
+            if len(self.tallies) >= self.keys_most:
+                self.dropped += 1
+                return None
+            self.tallies[key] = Tally(now - min(span, self.set.report_every))
+        return self.tallies[key]
+
+    def due(self, now: float) -> list[api.Event]:
+        """What the intake allows by now, oldest first; what remains goes on adding up."""
+        rate = self.set.reports_per_s
+        gained = (now - self.counted) * rate / 1000.0 if self.counted else rate * self.set.report_every / 1000.0
+        self.allowance = min(self.allowance + gained, rate * max(1.0, self.set.report_every / 1000.0))
+        self.counted = now
+        out: list[api.Event] = []
+        ready = [k for k, t in self.tallies.items() if now - t.since >= self.set.report_every * 0.9]
+        ready.sort(key=lambda k: (self.tallies[k].since, k))
+        for key in ready[: int(self.allowance)]:
+            tally, (what, a, b) = self.tallies.pop(key), key
+            span = max(now - tally.since, 1.0)
+            if what == "host":
+                good = tally.total - tally.errored
+                mean = tally.weighed / good if good else 0.0
+                out.append(api.HostSums(a, b, tally.total, tally.errored, mean, span))
+            elif what == "slice":
+                out.append(api.SliceSums(a, b, tally.total, tally.errored, span))
+            else:
+                out.append(api.ProxySums(a, b, tally.total, tally.errored, span))
+        self.allowance -= len(out)
+        return out
--- /dev/null
+++ b/corallanding/steward/links.py
@@ -0,0 +1,82 @@
+"""The steward's side of forwarder links on sockets: a thin protocol around `wire.link.Link`."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, cast
+
+from ..wire import frames
+from ..wire.frames import LinkFault
+from ..wire.link import Link
+
+if TYPE_CHECKING:
+    from .daemon import Steward
+
+
+class LinkProtocol(asyncio.Protocol):
+    """One connection of a forwarder. `joined` once its tables were sent."""
+
+    def __init__(self, steward: Steward) -> None:
+        self.steward = steward
+        self.link = Link(steward.limits, steward.clock())
+        self.joined = self.over = False
+        self.beat_at = steward.clock()
+        self.transport: asyncio.Transport | None = None
+
+    @property
+    def forwarder(self) -> int:
+        return self.link.hello.forwarder if self.link.hello else -1
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)
+        self.transport = transport
+        if len(self.steward.links) >= self.steward.config.forwarders.most * 2:
+            self.end("full", "too many links")
+            return
+        self.steward.links.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.over:
+            return
+        try:
+            found = self.link.receive(self.steward.clock(), data)
+        except LinkFault as fault:
+            self.steward.gate.warn("link fault", forwarder=self.forwarder, code=fault.code, why=str(fault))
+            self.end(fault.code, str(fault))
+            return
+        for frame in found:
+            if not self.over:
+                self.steward.frame(self, frame)
+
+    def send(self, data: bytes) -> bool:
+        """False if the forwarder reads too slowly: it is cut off, and reads the store when it is back."""
+        if self.over or self.transport is None:
+            return False
+        self.transport.write(data)
+        if self.transport.get_write_buffer_size() > self.steward.limits.buffer_most:
+            self.steward.gate.warn("link cut off", forwarder=self.forwarder, why="it does not read")
+            self.end("not-reading", "")
+            return False
+        return True
+
+    def end(self, code: str, text: str = "") -> None:
+        """Close this one link, saying why if the other side still reads."""
+        if self.over:
+            return
+        self.over = True
+        self.steward.metrics.closed.labels(code).inc()
+        if self.transport:
+            if code in ("not-reading", "silent"):
+                self.transport.abort()
+            else:
+                self.transport.write(frames.encode(frames.Bye(code, text[:200])))
+                self.transport.close()
+                # A peer that does not read its last frame must not keep the descriptor.
+                asyncio.get_running_loop().call_later(1.0, self.transport.abort)
+        self.steward.gone(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.over:
+            self.over = True
+            self.steward.metrics.closed.labels("broken" if exc else "closed").inc()
+            self.steward.gone(self)
--- /dev/null
+++ b/corallanding/steward/record.py
@@ -0,0 +1,128 @@
+"""The flight recorder: every step's time, events and actions, to be run through the module again.
+
+A file is a row of length-prefixed MessagePack items: a header (version, settings, seed), then a step each. A
+steward killed in the middle of a write leaves a torn last item; a reader stops before it and says so.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator, Sequence
+from enum import Enum
+from pathlib import Path
+from typing import Any, BinaryIO
+
+import msgspec
+
+from .. import interface as api
+
+VERSION = 1
+KINDS: dict[str, type] = {
+    k.__name__: k
+    for k in (
+        api.Membership, api.ProbeDone, api.HostSums, api.SliceSums, api.ProxySums, api.SliceGiven, api.OnRecord,
+        api.ProxyJoined, api.ProxyLeft, api.Acked, api.PeerMessage, api.Due, api.SetLine, api.Level, api.Cordon,
+        api.ResetTable, api.Point, api.Mark, api.Remind, api.Probe, api.Follow, api.FetchList, api.Tell, api.Note,
+    )
+}  # fmt: skip
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder()
+
+
+class RecordFault(Exception):
+    """A file that is no recording, or one of another version."""
+
+
+def pack(item: Any) -> list[Any]:
+    return [type(item).__name__, item]
+
+
+def unpack(raw: Any) -> Any:
+    if not isinstance(raw, list) or len(raw) != 2 or raw[0] not in KINDS:
+        raise RecordFault(f"no event or action: {str(raw)[:80]}")
+    return msgspec.convert(raw[1], KINDS[raw[0]])
+
+
+class Recorder:
+    """Writes one recording, up to `most` bytes; past that it stops and says so once (`full`)."""
+
+    def __init__(self, path: str | Path, settings: api.Settings, seed: int, most: float) -> None:
+        self.file: BinaryIO = open(path, "wb", buffering=0)
+        self.most, self.written, self.full = most, 0, False
+        head = {"corallanding": VERSION, "seed": seed, "settings": settings}
+        self.item(head)
+
+    def item(self, value: Any) -> None:
+        body = _encoder.encode(value)
+        data = len(body).to_bytes(4, "big") + body
+        if self.written + len(data) > self.most:
+            self.full = True
+        if not self.full:
+            self.file.write(data)
+            self.written += len(data)
+
+    def step(self, now: float, events: Sequence[api.Event], actions: Sequence[api.Action]) -> None:
+        self.item([now, [pack(e) for e in events], [pack(a) for a in actions]])
+
+    def close(self) -> None:
+        self.file.close()
+
+
+@dataclasses.dataclass
+class Recording:
+    settings: api.Settings
+    seed: int
+    steps: list[tuple[float, list[Any], list[Any]]]
+    torn: bool  # the last item was cut off
+
+
+def items(data: bytes) -> Iterator[bytes]:
+    at = 0
+    while len(data) - at >= 4:
+        length = int.from_bytes(data[at : at + 4], "big")
+        if len(data) - at - 4 < length:
+            break
+        yield data[at + 4 : at + 4 + length]
+        at += 4 + length
+    if at != len(data):
+        yield b""
+
+
+def read(path: str | Path) -> Recording:
+    """Raises `RecordFault` with what is wrong, `OSError` if the file cannot be read."""
+    data = Path(path).read_bytes()
+    parts = items(data)
+    try:
+        head = _decoder.decode(next(parts, b""))
+        if not isinstance(head, dict) or head.get("corallanding") != VERSION:
+            raise RecordFault(f"{path}: no recording of version {VERSION}")
+        settings = msgspec.convert(head["settings"], api.Settings)
+        found = Recording(settings, int(head["seed"]), [], False)
+        for part in parts:
+            if not part:
+                found.torn = True
+                break
+            now, events, actions = _decoder.decode(part)
+            found.steps.append((float(now), [unpack(e) for e in events], [unpack(a) for a in actions]))
+    except (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError, ValueError) as fault:
+        raise RecordFault(f"{path}: not a recording: {str(fault)[:200]}") from None
+    return found
+
+
+def shown(item: Any) -> str:
+    """An event or action as one line of text."""
+    pairs = ", ".join(f"{k}={getattr(v, 'name', v) if isinstance(v, Enum) else v}" for k, v in vars(item).items())
+    return f"{type(item).__name__}({pairs})"
+
+
+def compare(found: Recording, decider: Any) -> str:
+    """Runs the recording through `decider(settings, seed)`; the first difference as text, or ''."""
+    module = decider(found.settings, found.seed)
+    for number, (now, events, want) in enumerate(found.steps, 1):
+        got = module.step(now, events)
+        for at in range(max(len(want), len(got))):
+            a = shown(want[at]) if at < len(want) else "nothing"
+            b = shown(got[at]) if at < len(got) else "nothing"
+            if a != b:
+                return f"step {number} at {now:.3f} ms, action {at + 1}: recorded {a}, now {b}"
+    return ""
--- /dev/null
+++ b/corallanding/telemetry/logs.py
@@ -0,0 +1,53 @@
+"""Structured logs by structlog: JSON for machines, console for people, to standard error."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+log: Any = structlog.get_logger("corallanding")
+
+
+def configure(form: str = "json", level: str = "info") -> None:
+    """form: "json" or "console"; level: "debug" to "error". May be called again at a reload."""
+    last: Any = structlog.processors.JSONRenderer(sort_keys=True)
+    if form == "console":
+        last = structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            last,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+
+
+class Gate:
+    """At most `most` lines of one kind in a second; says how many it left out.
+
+    Guards against a peer that fills the disk by breaking the protocol in a loop; hides which of many peers
+    did it, beyond the first few (the metrics count all).
+    """
+
+    def __init__(self, clock: Callable[[], float], most: int = 20) -> None:
+        self.clock, self.most = clock, most
+        self.seen: dict[str, tuple[float, int]] = {}
+
+    def warn(self, kind: str, **fields: Any) -> None:
+        now = self.clock()
+        since, count = self.seen.get(kind, (now, 0))
+        if now - since >= 1000.0:
+            if count > self.most:
+                log.warning(kind, left_out=count - self.most)
+            since, count = now, 0
+        self.seen[kind] = (since, count + 1)
+        if count < self.most:
+            log.warning(kind, **fields)
--- /dev/null
+++ b/corallanding/telemetry/metrics.py
@@ -0,0 +1,39 @@
+"""Metrics of one steward, in a registry of its own. Times are seconds, as the exposition format wants."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+FINE = (0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+
+class Metrics:
+    def __init__(self) -> None:
+        r = self.registry = CollectorRegistry()
+        p = "corallanding_"
+        self.step = Histogram(p + "step_seconds", "Time of one step, store included", registry=r, buckets=FINE)
+        self.late = Histogram(p + "step_late_seconds", "How late a due step began", registry=r, buckets=FINE)
+        self.ack = Histogram(p + "publish_to_ack_seconds", "From order to ack", registry=r, buckets=FINE)
+        self.events = Counter(p + "events", "Events handed to the module", ["kind"], registry=r)
+        self.actions = Counter(p + "actions", "Actions of the module", ["kind"], registry=r)
+        self.links = Gauge(p + "forwarders", "Forwarders joined", registry=r)
+        self.closed = Counter(p + "links_closed", "Links closed, by reason", ["reason"], registry=r)
+        self.waiting = Gauge(p + "channel_waiting_lines", "Lines waiting, heads included", registry=r)
+        self.most_waiting = Gauge(p + "channel_most_lines", "The most that ever waited", registry=r)
+        self.lines = Counter(p + "lines_sent", "Table lines sent", registry=r)
+        self.messages = Counter(p + "messages_sent", "Messages sent", registry=r)
+        self.reads = Counter(p + "table_reads", "Whole tables given to joining forwarders", registry=r)
+        self.probes = Counter(p + "probes", "Probes ended, by end", ["end"], registry=r)
+        self.store_faults = Counter(p + "store_faults", "Writes that the store did not take", registry=r)
+        self.store_well = Gauge(p + "store_well", "1 while the store takes writes", registry=r)
+        self.unsaved = Gauge(p + "unsaved_tables", "Tables published and not yet kept", registry=r)
+        self.roster_version = Gauge(p + "roster_version", "Version of the list held", registry=r)
+        self.roster_faults = Counter(p + "roster_faults", "Failures of the roster's source", registry=r)
+        self.bad_rows = Counter(p + "roster_bad_rows", "Entries of lists left out", registry=r)
+        self.hosts = Gauge(p + "hosts_listed", "Hosts on the list", registry=r)
+        self.dropped_sums = Gauge(p + "sums_dropped", "Rows of sums on unknown things", registry=r)
+        self.discarded = Gauge(p + "orders_discarded", "Orders outside the charge", registry=r)
+        self.peer_drops = Counter(p + "peer_messages_dropped", "Peer datagrams that were not taken", registry=r)
+
+    def text(self) -> bytes:
+        return generate_latest(self.registry)
