--- a/corallanding/lab/audit.py
+++ b/corallanding/lab/audit.py
@@ -326,7 +326,8 @@
         for view in views:
             first = 0
             for k, t in enumerate(view.frames):
-                while view.frames[first] < t - (limits.messages_span - 50.0):
+                since = max((a for a, b in view.joined if a <= t), default=0.0)  # counted from its joining
+                while view.frames[first] < max(since, t - (limits.messages_span - 50.0)):
                     first += 1
                 if not any(a < t and b > view.frames[first] for a, b in view.stalls):
                     most = max(most, k - first + 1)
--- a/corallanding/lab/commands.py
+++ b/corallanding/lab/commands.py
@@ -31,6 +31,7 @@
     out: Annotated[Path, typer.Option("--out", help="folder for results")],
     seed: Annotated[int, typer.Option("--seed")] = 1,
     publisher: Annotated[Optional[str], typer.Option("--publisher", help="another decider")] = None,  # noqa: UP045
+    lift: Annotated[bool, typer.Option("--lift-limits", help="a steward without its channel's limits")] = False,
 ) -> None:
     """Play a scenario on loopback. Exit 0 if all rules held, 1 if one broke, 2 on bad input."""
     from .publishers import PUBLISHERS
@@ -45,7 +46,7 @@
     if name not in PUBLISHERS:
         raise fail(f"publisher {name!r} is not one of {', '.join(PUBLISHERS)}")
     try:
-        result = play(found.model_copy(update={"publisher": name}), out, seed)
+        result = play(found.model_copy(update={"publisher": name}), out, seed, lift)
     except (OSError, RuntimeError) as fault:
         raise fail(fault, 3) from None
     print(
--- a/corallanding/lab/faults.py
+++ b/corallanding/lab/faults.py
@@ -229,6 +229,16 @@
             await asyncio.sleep(max(f.extra, 0.2))
 
     async def steward_kill(self, f: Fault) -> None:
+        """how "mid-move": once one forwarder has got lines that others have not, or after three seconds."""
+        before = {x.number: x.seq for x in self.lab.forwarders}
+        end = clock() + 3_000.0 if f.how == "mid-move" else 0.0
+        while clock() < end:
+            ahead = [x.seq > before[x.number] for x in self.lab.forwarders if x.joined]
+            if any(ahead) and not all(ahead):
+                break
+            if all(ahead):
+                before = {x.number: x.seq for x in self.lab.forwarders}
+            await asyncio.sleep(0.002)
         await self.lab.kill_steward()
         await self.wait(f)
         await self.lab.start_steward()
--- a/corallanding/lab/forwarder.py
+++ b/corallanding/lab/forwarder.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, cast
@@ -110,7 +110,7 @@
         self.forwarder, self.reader = forwarder, frames.Reader(frames.to_forwarder, 16 << 20)
         self.transport: asyncio.Transport | None = None
         self.heard = clock()
-        self.held: list[Any] = []  # while the forwarder stands still
+        self.coming: deque[tuple[float, Any]] = deque()
         self.next_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -135,14 +135,18 @@
             self.heard = clock()
             if isinstance(frame, frames.Orders | frames.Tables):
                 f.witness.saw("frame", msgspec.to_builtins(frame))
-            # The way of a message takes its time, in order.
+            # The way of a message takes its time, in order (timers alone would swap what falls due together).
             delay = float(f.chance.exponential(f.rules.transit)) if f.rules.transit else 0.0
             self.next_at = max(self.next_at, clock() + delay)
-            if self.next_at > clock():
-                loop = asyncio.get_running_loop()
-                loop.call_later((self.next_at - clock()) / 1000.0, f.told, self, frame)
-            else:
-                f.told(self, frame)
+            self.coming.append((self.next_at, frame))
+        self.arrive()
+
+    def arrive(self) -> None:
+        while self.coming and self.coming[0][0] <= clock():
+            self.forwarder.told(self, self.coming.popleft()[1])
+        if self.coming:
+            wait = max(0.001, (self.coming[0][0] - clock()) / 1000.0)
+            asyncio.get_running_loop().call_later(wait, self.arrive)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
--- a/corallanding/lab/publishers.py
+++ b/corallanding/lab/publishers.py
@@ -66,18 +66,24 @@
     """Rule 1: empties a slice and never fills it again."""
 
     def spoil(self, now: float, events: Sequence[api.Event], actions: list[api.Action]) -> list[api.Action]:
+        assert self.begun is not None
+        if now - self.begun < 3_000.0:
+            return actions
         kept = [a for a in actions if not (isinstance(a, api.SetLine) and a.slice == 0)]
-        return [*kept, api.ResetTable(0)] if any(isinstance(a, api.SetLine) for a in actions) else kept
+        return [*kept, api.ResetTable(0)]
 
 
 class Doubler(Saboteur):
-    """Rule 2: has every operation tried again after any failure."""
+    """Rule 2: has every operation tried again after any failure, and a second host to try it at."""
 
     def spoil(self, now: float, events: Sequence[api.Event], actions: list[api.Action]) -> list[api.Action]:
-        return [
-            api.Level(a.slice, a.operations, a.amount, api.Retry.TWICE) if isinstance(a, api.Level) else a
-            for a in actions
-        ]
+        out: list[api.Action] = []
+        hosts = sorted(self.inner.hosts)
+        for a in actions:
+            out.append(api.Level(a.slice, a.operations, a.amount, api.Retry.TWICE) if isinstance(a, api.Level) else a)
+            if isinstance(a, api.SetLine) and a.weight > 0:
+                out.append(api.SetLine(a.slice, hosts[(hosts.index(a.host) + 1) % len(hosts)], 1.0))
+        return out
 
 
 class Clinger(Saboteur):
--- a/corallanding/telemetry/logs.py
+++ b/corallanding/telemetry/logs.py
@@ -25,7 +25,7 @@
             last,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=lambda *_: structlog.WriteLogger(sys.stderr),  # whichever it is now
         cache_logger_on_first_use=False,
     )
 
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,162 @@
+"""The engine: order of events, keep before send, what a joining forwarder is given, a store that fails."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from corallanding import interface as api
+from corallanding.steward import engine as core
+from corallanding.steward.gather import Gather
+from corallanding.store import Life
+from corallanding.wire import frames
+
+OPS = (api.Operation("quote", api.Repeat.IDEMPOTENT, "all", 0, 1, 0, 1000, 3000),)
+SETTINGS = api.Settings(OPS, slices=4, proxies=2, report_every=1000.0, reports_per_s=2.0)
+
+
+class Scripted:
+    """A decider that does what a test put into `todo`, and keeps what it was told."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None:
+        self.todo: list[api.Action] = []
+        self.told: list[api.Event] = []
+
+    def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        self.told += events
+        todo, self.todo = self.todo, []
+        return todo
+
+
+def make(settings: api.Settings = SETTINGS, life: Life | None = None) -> tuple[core.Engine, Scripted]:
+    addresses = {h: f"127.0.0.1:{h}" for h in (10, 11, 12)}
+    engine = core.Engine(settings, 1, life or Life(2), range(settings.slices), addresses, Scripted)
+    assert isinstance(engine.module, Scripted)
+    return engine, engine.module
+
+
+def read(data: bytes) -> list[frames.Frame]:
+    return frames.Reader(frames.to_forwarder, 1 << 20).feed(data)
+
+
+def step(engine: core.Engine, now: float, stored: bool = True) -> tuple[core.Writes, list[core.Output]]:
+    engine.event(now, api.Due(99))
+    writes = engine.decide(now)
+    return writes, engine.publish(stored)
+
+
+def hello(f: int, **more: object) -> frames.Hello:
+    return frames.Hello(frames.VERSION, f, f"{f}-1", **more)  # type: ignore[arg-type]
+
+
+def test_events_come_in_the_order_of_their_times_also_to_a_late_turn() -> None:
+    engine, module = make()
+    module.todo = [api.Remind(50.0, 5), api.Remind(20.0, 6)]
+    step(engine, 100.0)
+    engine.event(110.0, api.Due(1))
+    engine.event(130.0, api.Due(2))
+    engine.event(130.0, api.Due(3))
+    module.told.clear()
+    engine.decide(500.0)  # long after all of it
+    assert [e.handle for e in module.told if isinstance(e, api.Due)] == [1, 6, 2, 3, 5]
+    module.told.clear()
+    engine.event(400.0, api.Due(9))
+    engine.decide(300.0)  # a clock that went back stands still
+    assert engine.now == 500.0 and module.told == [api.Due(9)]
+
+
+def test_one_message_carries_a_step_and_is_kept_first() -> None:
+    engine, module = make()
+    for f in (1, 2):
+        engine.join(0.0, hello(f))
+    module.todo = [api.SetLine(0, 10, 1.0), api.SetLine(1, 11, 1.0), api.Mark(7)]
+    writes = engine.decide(10.0)
+    assert writes == core.Writes(1, ((0, 10, 1.0), (1, 11, 1.0)))
+    [send] = engine.publish(True)
+    assert isinstance(send, core.Send) and send.to == (1, 2) and (send.lines, send.mark) == (3, 7)
+    [order] = read(send.frame)
+    assert isinstance(order, frames.Orders) and order.mark == 7
+    assert order.addresses == {10: "127.0.0.1:10", 11: "127.0.0.1:11"}
+    [tables] = read(engine.join(20.0, hello(3)))
+    assert isinstance(tables, frames.Tables) and tables.seq == 1
+    assert tables.tables == [(0, [(10, 1.0)]), (1, [(11, 1.0)]), (2, []), (3, [])]
+
+
+def test_orders_outside_the_charge_are_dropped_and_counted() -> None:
+    engine, module = make()
+    engine.charged(0.0, 3, False)
+    module.todo = [api.SetLine(3, 10, 1.0), api.Level(3, 0, 0.5, api.Retry.NEVER), api.ResetTable(3)]
+    writes, out = step(engine, 10.0)
+    assert engine.discarded == 3 and not writes.lines and not writes.resets
+    engine.charged(20.0, 3, True, {12: 1.0})
+    module.told.clear()
+    step(engine, 30.0)
+    assert module.told[:2] == [api.SliceGiven(3, True), api.OnRecord(3, 12, 1.0)]
+
+
+def test_a_failing_store_stops_no_order_and_gets_all_later() -> None:
+    engine, module = make()
+    engine.join(0.0, hello(1))
+    module.todo = [api.SetLine(0, 10, 1.0)]
+    writes, out = step(engine, 10.0, stored=False)
+    assert len(out) == 1 and engine.unsaved == {0: {10: 1.0}}
+    module.todo = [api.SetLine(0, 11, 1.0), api.SetLine(0, 10, 0.0), api.ResetTable(2)]
+    writes, _ = step(engine, 20.0, stored=False)
+    assert set(writes.lines) == {(0, 10, 0.0), (0, 11, 1.0)} and writes.resets == (2,)
+    assert engine.next_at(30.0) == 30.0, "it asks for a step to try the store again"
+    engine.store_waits = True
+    assert engine.next_at(30.0) is None
+    step(engine, 40.0)
+    assert engine.unsaved == {} and engine.unsaved_resets == set()
+
+
+def test_a_forwarder_gives_back_what_the_store_had_not_kept() -> None:
+    life = Life(5, seq=3, tables={0: {10: 1.0}, 1: {10: 1.0}})
+    engine, module = make(life=life)
+    engine.recall_until = 1000.0
+    assert not engine.wants_recall(0.0, hello(1, life=4, seq=3)), "as new as the store"
+    assert not engine.wants_recall(0.0, hello(1, life=3, seq=9)), "of an older life"
+    assert engine.wants_recall(0.0, hello(1, life=4, seq=9))
+    held = frames.Held(4, 9, [(0, [(11, 1.0)]), (1, [(10, 1.0)]), (2, [(77, 1.0)]), (9, [(10, 1.0)])])
+    assert engine.held(1.0, held) == [0], "1 is as kept, host 77 is unknown, 9 is not in its charge"
+    writes, _ = step(engine, 2.0)
+    assert writes.resets == (0,) and writes.lines == ((0, 11, 1.0),)
+    assert module.told[:2] == [api.SliceGiven(0, True), api.OnRecord(0, 11, 1.0)]
+    assert engine.held(3.0, frames.Held(4, 8, [(0, [(12, 1.0)])])) == [], "older than what was recalled"
+    assert not engine.wants_recall(2000.0, hello(1, life=4, seq=99)), "long after the start"
+
+
+def test_without_slices_each_forwarder_gets_its_own_tables() -> None:
+    engine, module = make(api.Settings(OPS, slices=0, proxies=3))
+    for f in (1, 2, 3):
+        engine.join(0.0, hello(f))
+    module.todo = [api.SetLine(5, 10, 1.0), api.SetLine(6, 11, 1.0), api.Point(1, 5, 0), api.Point(2, 6, 1)]
+    _, out = step(engine, 10.0)
+    got = {s.to: read(s.frame)[0] for s in out if isinstance(s, core.Send)}
+    assert set(got) == {(1,), (2,)}
+    assert got[1,].lines == [(5, 10, 1.0)] and got[1,].points == [(5, 0)]  # type: ignore[attr-defined]
+    module.todo = [api.SetLine(6, 11, 0.0), api.Mark(1, everyone=True)]
+    _, out = step(engine, 20.0)
+    assert {s.to for s in out if isinstance(s, core.Send)} == {(2,), (1, 3)}
+    [tables] = read(engine.join(30.0, hello(1)))
+    assert isinstance(tables, frames.Tables) and tables.tables == [], "a binding ends with the stream"
+
+
+def test_sums_add_up_and_come_oldest_first_at_the_intake_s_pace() -> None:
+    gather = Gather(SETTINGS)
+    for now, host in ((0.0, 10), (100.0, 11), (200.0, 12)):
+        gather.add(now, 1, 0, frames.Sums(500.0, hosts=[(host, 4, 1, 20.0)]), {10, 11, 12}, set())
+    odd = frames.Sums(500.0, hosts=[(10, 2, 0, 50.0), (99, 1, 0, 1.0), (11, 1, 2, 1.0)])
+    gather.add(300.0, 2, 0, odd, {10, 11}, set())
+    assert gather.dropped == 2, "an unknown host, and more errors than tries"
+    assert gather.due(300.0) == []
+    first = gather.due(1000.0)
+    assert [(e.host, e.tries, e.errored, e.latency) for e in first if isinstance(e, api.HostSums)] == [
+        (10, 6, 1, 32.0), (11, 4, 1, 20.0),
+    ]  # fmt: skip
+    assert [e.host for e in gather.due(1500.0) if isinstance(e, api.HostSums)] == [12]
+
+
+def test_sums_are_bounded() -> None:
+    gather = Gather(SETTINGS, keys_most=2)
+    gather.add(0.0, 1, 0, frames.Sums(500.0, slices=[(s, 0, 1, 0) for s in range(4)]), set(), set(range(4)))
+    assert len(gather.tallies) == 2 and gather.dropped == 2
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,168 @@
+"""The lab proves itself: the real steward keeps the rules, each saboteur is caught, a torn record is not judged."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import pytest
+from typer.testing import CliRunner
+
+from corallanding.cli.main import app
+from corallanding.config import ConfigFault
+from corallanding.lab.audit import RULES, Limits, judge
+from corallanding.lab.commands import lab
+from corallanding.lab.scenario import KINDS, from_day, load_scenario, scenario_hcl
+from corallanding.lab.trace import read
+
+HERE = Path(__file__).parent
+SABOTAGE = HERE / "sabotage.hcl"
+BREAKS = {"barer": 0, "doubler": 1, "clinger": 2, "pusher": 3, "flooder": 4}
+
+
+@pytest.fixture(scope="module")
+def runs(tmp_path_factory: pytest.TempPathFactory) -> dict[str, tuple[int, Path, str]]:
+    """The same scenario under the real module and under each saboteur, side by side."""
+    out = tmp_path_factory.mktemp("runs")
+    started = {}
+    for name in ("corallanding", *BREAKS):
+        more = ["--lift-limits"] if name == "flooder" else []
+        command = [sys.executable, "-c", "from corallanding.cli.main import main; main()", "lab", "run", str(SABOTAGE)]
+        started[name] = subprocess.Popen(
+            [*command, "--out", str(out / name), "--publisher", name, *more],
+            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+        )  # fmt: skip
+    done = {}
+    for name, process in started.items():
+        said, _ = process.communicate(timeout=120)
+        done[name] = (process.returncode, out / name, said)
+    return done
+
+
+def rules(folder: Path) -> list[Any]:
+    return [r["kept"] for r in json.loads((folder / "result.json").read_text())["rules"]]
+
+
+def test_the_real_steward_keeps_the_rules_and_leaves_its_results(runs: dict[str, Any]) -> None:
+    code, folder, said = runs["corallanding"]
+    assert code == 0 and rules(folder) == [True] * 5, said
+    result = json.loads((folder / "result.json").read_text())
+    assert {"seed", "invocations", "succeeded", "service", "doubles", "rules"} <= set(result)
+    assert result["invocations"] > 300 and result["doubles"] == 0
+    assert "kept" in (folder / "result.md").read_text()
+    for chart in ("service", "load", "channel", "publish"):
+        assert (folder / f"{chart}.png").read_bytes()[:4] == b"\x89PNG"
+
+
+@pytest.mark.parametrize("name", BREAKS)
+def test_the_audit_catches_each_saboteur(runs: dict[str, Any], name: str) -> None:
+    code, folder, said = runs[name]
+    assert code == 1 and rules(folder)[BREAKS[name]] is False, said
+
+
+def test_a_recording_replays_and_a_changed_one_is_told(runs: dict[str, Any], tmp_path: Path) -> None:
+    _, folder, _ = runs["corallanding"]
+    run, path = CliRunner(), folder / "steward-1.rec"
+    told = run.invoke(app, ["replay", str(path)])
+    assert told.exit_code == 0 and "no difference" in told.output
+    data = path.read_bytes()
+    torn = tmp_path / "torn.rec"
+    torn.write_bytes(data[:-7])
+    told = run.invoke(app, ["replay", str(torn)])
+    assert told.exit_code == 0 and "torn off" in told.output
+    changed = tmp_path / "changed.rec"
+    changed.write_bytes(data.replace(b"\xa7SetLine\x83\xa5slice\x00", b"\xa7SetLine\x83\xa5slice\x01", 1))
+    assert changed.read_bytes() != data
+    told = run.invoke(app, ["replay", str(changed)])
+    assert told.exit_code == 1 and "action" in told.output and "recorded SetLine" in told.output
+
+
+def limits_of(path: Path) -> Limits:
+    from corallanding.lab.runner import Lab
+
+    return Lab(load_scenario(path), Path("."), 0).limits()
+
+
+def test_a_truncated_record_is_not_judged(runs: dict[str, Any], tmp_path: Path) -> None:
+    _, folder, _ = runs["corallanding"]
+    records, limits = read(folder / "trace.jsonl.gz"), limits_of(SABOTAGE)
+    whole, _ = judge(records, limits)
+    assert [v.kept for v in whole] == [True] * 5
+    chance = np.random.default_rng(3)
+    cuts = [records[:-1], records[: len(records) // 2], [r for r in records if r[0] != "roster"]]
+    cuts += [records[:k] + records[k + 1 :] for k in chance.integers(0, len(records), 20)]
+    for cut in cuts:
+        verdicts, _ = judge(cut, limits)
+        assert [v.kept for v in verdicts] == [None] * 5 and verdicts[0].note.startswith("not judged")
+    assert len(RULES) == 5
+
+
+def test_bad_scenarios_are_named(tmp_path: Path) -> None:
+    path, run = tmp_path / "s.hcl", CliRunner()
+    text = SABOTAGE.read_text()
+    for old, new, said in (
+        ('fault "slow"', 'fault "sloth"', "fault 'sloth' is not one of crash, deploy"),
+        ("seconds = 7", "seconds = -7", "s.hcl:3: seconds: input should be greater than 0"),
+        ("  hosts = 4\n", "", "s.hcl:6: fleet.hosts: is missing"),
+    ):  # fmt: skip
+        path.write_text(text.replace(old, new).replace(str(tmp_path), ""))
+        told = run.invoke(lab, ["run", str(path), "--out", str(tmp_path / "out")])
+        assert told.exit_code == 2 and said in told.output.replace(str(tmp_path) + "/", ""), told.output
+    path.write_text(text)
+    told = run.invoke(lab, ["run", str(path), "--out", str(tmp_path / "out"), "--publisher", "nobody"])
+    assert told.exit_code == 2 and "'nobody' is not one of corallanding" in told.output
+
+
+def day() -> dict[str, Any]:
+    """A day as the bench prints it, written here: the fields that the conversion reads."""
+    return {
+        "zones": ["x", "y"], "length": 30_000_000, "drain_grace": 2_000_000, "fall_for": 3_000_000,
+        "fall_multiple": 4.0,
+        "servers": [{"kind": k % 2, "speed": 1.0, "up": k < 8} for k in range(10)], "balancers": [{}] * 7,
+        "tiers": [{"kinds": [
+            {"name": n, "cores": 4, "queue": 40, "cold": 9_000_000, "cold_from": 0.3} for n in ("k1", "k2")
+        ]}],
+        "classes": [{
+            "name": "c", "share": 1.0, "work": 100_000, "aim": 800_000, "deadline": 2_000_000, "worth": 1.0,
+            "late_worth": 0.1, "effect": "unsafe", "cv": 0.5,
+        }],
+        "clients": {"retries": 1, "try_share": 0.9, "backoff_us": 50_000.0},
+        "discovery": {"ask": False, "notice": 900_000, "add": 100_000}, "allow": {"probes": True},
+        "traffic": {"load": 0.5},
+        "fam": {
+            "slices": 40, "slice_cv": 0.4, "late": 100_000, "heard_late": 400_000, "bare": 3_000_000, "head": 8.0,
+            "rate": 9000.0, "backlog": 9000.0, "messages_most": 20, "period": 500_000, "intake": 300.0,
+            "pick": "two", "admit": "share", "usual_how": 1, "try_aims": 1.2, "ejects": 0, "controllers": [0],
+        },
+        "troubles": [{"kind": k, "at": 1_000_000, "len": 2_000_000, "size": 0.5, "extra": 0.3, "on": [0, 9]}
+                     for k in KINDS if k not in ("drain", "steward_kill", "roster_down", "store_down")],
+    }  # fmt: skip
+
+
+def test_a_bench_day_becomes_a_scenario_that_reads_back_the_same(tmp_path: Path) -> None:
+    found = from_day(day(), "day")
+    assert (found.fleet.hosts, found.fleet.forwarders, found.fleet.slices) == (8, 6, 40)
+    assert found.traffic.per_s == 0.5 * 8 * 4 * 1000 / 100 and len(found.fault) == len(KINDS) - 4
+    path = tmp_path / "day.hcl"
+    path.write_text(scenario_hcl(found))
+    assert load_scenario(path) == found
+    half = from_day(day(), "day", 0.5)
+    assert half.fleet.hosts == 4 and half.traffic.per_s == found.traffic.per_s / 2
+    (tmp_path / "d.json").write_text(json.dumps(day()))
+    told = CliRunner().invoke(lab, ["scenario", "--from", str(tmp_path / "d.json")])
+    assert told.exit_code == 0 and told.output.startswith('name = "d"')
+
+
+def test_a_file_that_is_no_day_is_named(tmp_path: Path) -> None:
+    odd = day()
+    odd["troubles"][0]["kind"] = "earthquake"
+    with pytest.raises(ConfigFault, match="'earthquake' of the day is not in the vocabulary"):
+        from_day(odd, "odd")
+    with pytest.raises(ConfigFault, match="no day of the bench: KeyError"):
+        from_day({"servers": []}, "odd")
+    (tmp_path / "d.json").write_text("{")
+    assert CliRunner().invoke(lab, ["scenario", "--from", str(tmp_path / "d.json")]).exit_code == 2
