--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -20,7 +20,7 @@
 from corallanding.lab.trace import read
 
 HERE = Path(__file__).parent
-SABOTAGE = HERE / "sabotage.hcl"
+SABOTAGE, HARD = HERE / "sabotage.hcl", HERE / "hard.hcl"
 BREAKS = {"barer": 0, "doubler": 1, "clinger": 2, "pusher": 3, "flooder": 4}
 
 
@@ -29,11 +29,12 @@
     """The same scenario under the real module and under each saboteur, side by side."""
     out = tmp_path_factory.mktemp("runs")
     started = {}
-    for name in ("corallanding", *BREAKS):
+    for name in ("hard", "corallanding", *BREAKS):
         more = ["--lift-limits"] if name == "flooder" else []
-        command = [sys.executable, "-c", "from corallanding.cli.main import main; main()", "lab", "run", str(SABOTAGE)]
+        file, publisher = (HARD, "corallanding") if name == "hard" else (SABOTAGE, name)
+        command = [sys.executable, "-c", "from corallanding.cli.main import main; main()", "lab", "run", str(file)]
         started[name] = subprocess.Popen(
-            [*command, "--out", str(out / name), "--publisher", name, *more],
+            [*command, "--out", str(out / name), "--publisher", publisher, *more],
             stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
         )  # fmt: skip
     done = {}
@@ -58,6 +59,35 @@
         assert (folder / f"{chart}.png").read_bytes()[:4] == b"\x89PNG"
 
 
+def test_hard_cases_of_restart_and_reassignment(runs: dict[str, Any]) -> None:
+    """Slices move while claims are in flight on the old owner; forwarders stall through it and come back with old
+    tables; the steward is killed while some have a message that others lack; then roster and store fail."""
+    code, folder, said = runs["hard"]
+    assert code == 0 and rules(folder) == [True] * 5, said
+    result = json.loads((folder / "result.json").read_text())
+    assert result["doubles"] == 0 and result["lives"] == 2
+    records = read(folder / "trace.jsonl.gz")
+    running: dict[int, tuple[str, int]] = {}
+    in_flight_moves = stalled_out = 0
+    ran: dict[int, int] = {}
+    for r in records:
+        if r[3] == "run" and r[8] == 1:
+            running[r[4]] = (r[0], r[9])
+            ran[r[4]] = ran.get(r[4], 0) + 1
+        elif r[3] == "done":
+            running.pop(r[4], None)
+        elif r[3] == "frame" and r[4][0] == "orders":
+            gone = {(f"host {h}", s) for s, h, w in r[4][4] if w == 0}
+            in_flight_moves += sum(at in gone for at in running.values())
+        elif r[3] == "left" and r[0] in ("forwarder 1", "forwarder 3"):
+            stalled_out += 1
+    assert in_flight_moves > 0 and stalled_out >= 2 and max(ran.values()) == 1
+    log = (folder / "steward.log").read_text()
+    assert '"why": "silent"' in log and "store does not write" in log and "store writes again" in log
+    for life in (1, 2):
+        assert CliRunner().invoke(app, ["replay", str(folder / f"steward-{life}.rec")]).exit_code == 0
+
+
 @pytest.mark.parametrize("name", BREAKS)
 def test_the_audit_catches_each_saboteur(runs: dict[str, Any], name: str) -> None:
     code, folder, said = runs[name]
