Load reports: ORCA envelopes, fair triage, an intake process, weights from what a report is worth

Need: where hosts report their load, the steward takes it in from thousands of senders, and lets it count for as much as it is worth. Change: corallanding/reports: envelopes around published ORCA bodies (protobuf, JSON, stream), signed; one slot a sender; an intake process of its own, so that a flood takes its core and not the steward's turn; ages shown by echoed ticks, the roster's start or an agreeing clock; factors between floor and 1 on listed weights, quantized, with hysteresis, few at once, exactly 1 without fresh reports. Lab senders and six faults. Failed first: a forged datagram took the slot of whom it claimed to be, and starved it; the MAC is now checked before triage. Without a tolerance the uneven shares of slices on a calm fleet lowered hosts.

--- a/corallanding/config/models.py
+++ b/corallanding/config/models.py
@@ -160,6 +160,37 @@
     most_mb: Annotated[float, Field(gt=0, le=1e6)] = 512.0
 
 
+class LoadReportsBlock(Block):
+    """Load reports of hosts. See docs/reports.md; times in ms."""
+
+    listen: Address
+    key_file: str | None = None
+    half_life_ms: Ms = 5000.0
+    expiry_ms: Ms = 20000.0
+    window_ms: Ms = 5000.0
+    step: Annotated[float, Field(ge=0.05, le=1)] = 0.25
+    floor: Annotated[float, Field(ge=0.1, le=1)] = 0.5
+    busy_from: Annotated[float, Field(gt=0, le=1)] = 0.4
+    tolerance: Annotated[float, Field(ge=0, le=2)] = 0.4
+    gain: Annotated[float, Field(gt=0, le=1)] = 0.5
+    reporting_least: Ratio = 0.5
+    changes_most: Annotated[float, Field(gt=0, le=1)] = 0.1
+    stuck_after_ms: Ms = 60000.0
+    processes_most: Annotated[int, Field(ge=1, le=65536)] = 64
+    sender_rate: Annotated[float, Field(gt=0, le=1000)] = 4.0
+    sender_burst: Annotated[float, Field(ge=1, le=1000)] = 4.0
+    reports_per_s: Annotated[float, Field(ge=1, le=1e6)] = 2000.0
+    tick_ms: Annotated[float, Field(ge=1, le=1000)] = 50.0
+    streams_most: Annotated[int, Field(ge=0, le=10000)] = 256
+    buffer_bytes: Annotated[int, Field(ge=4096, le=1 << 28)] = 4 << 20
+
+    @model_validator(mode="after")
+    def ordered(self) -> LoadReportsBlock:
+        if self.expiry_ms < 2 * self.half_life_ms:
+            raise ValueError("expiry_ms is under two half lives")
+        return self
+
+
 class PricesBlock(Block):
     probe: float = 0.0
     message: float = 0.0
@@ -182,6 +213,7 @@
     log: LogBlock = LogBlock()
     record: RecordBlock = RecordBlock()
     prices: PricesBlock = PricesBlock()
+    load_reports: LoadReportsBlock | None = None
 
     @model_validator(mode="after")
     def whole(self) -> StewardConfig:
--- a/corallanding/lab/faults.py
+++ b/corallanding/lab/faults.py
@@ -9,6 +9,7 @@
 
 from .clients import Hot
 from .host import Host, release
+from .reporter import Way
 from .scenario import Fault, Scenario
 from .trace import clock
 
@@ -275,6 +276,42 @@
         roster.dropped, roster.ghosts, roster.frozen = set(), {}, None
         roster.changed()
 
+    # ---- load reports -----------------------------------------------------------------------------------
+
+    async def reporting(self, f: Fault, **how: object) -> None:
+        """Hosts report in another way for a while."""
+        struck = [h.number for h in self.some(f)]
+        if self.lab.reporter is None:
+            return
+        for n in struck:
+            self.lab.reporter.ways[n] = Way(**how)  # type: ignore[arg-type]
+        await self.wait(f)
+        for n in struck:
+            self.lab.reporter.ways.pop(n, None)
+
+    async def report_silent(self, f: Fault) -> None:
+        await self.reporting(f, silent=True)
+
+    async def report_lying(self, f: Fault) -> None:
+        """how "idle" or "busy"; it says so whatever its load."""
+        await self.reporting(f, says=0.01 if f.how != "busy" else max(f.size, 0.5))
+
+    async def report_stale(self, f: Fault) -> None:
+        """What it says is `size` seconds old, in figures and clocks; it is busy there, by its size of old."""
+        await self.reporting(f, late=f.size * 1000.0, says=f.extra)
+
+    async def report_skew(self, f: Fault) -> None:
+        """Wall clocks off by up to `size` seconds either way."""
+        await self.reporting(f, skew=f.size * 1000.0)
+
+    async def report_loss(self, f: Fault) -> None:
+        await self.reporting(f, loss=min(f.size, 1.0))
+
+    async def report_flood(self, f: Fault) -> None:
+        """`size` times the usual volume of reports, from a process of its own, by the struck hosts and by strangers."""
+        if self.lab.reporter:
+            await self.lab.reporter.flood([h.number for h in self.some(f)], f.size, f.for_s)
+
     # ---- in the arrivals -------------------------------------------------------------------------------
 
     async def hot_key(self, f: Fault) -> None:
--- a/corallanding/lab/host.py
+++ b/corallanding/lab/host.py
@@ -73,6 +73,7 @@
         self.pushes: deque[tuple[float, float]] = deque()
         self.pushed = 0.0
         self.probes = 0
+        self.used, self.used_at = 0.0, clock()  # smoothed share of busy cores, for reports
 
     @property
     def address(self) -> str:
@@ -110,6 +111,14 @@
             conn.transport.abort()
         self.witness.saw("stop")
 
+    def utilization(self, span: float) -> float:
+        """Share of its cores that were busy lately, smoothed over `span` ms; a queue shows as more than 1."""
+        now = clock()
+        keep = 0.5 ** ((now - self.used_at) / span)
+        load = (len(self.busy) + len(self.room)) / self.spec.cores
+        self.used, self.used_at = load + (self.used - load) * keep, now
+        return self.used
+
     def vigour(self) -> float:
         """What part of its full speed it has now."""
         s = self.spec
--- /dev/null
+++ b/corallanding/lab/reporter.py
@@ -0,0 +1,176 @@
+"""Stand-in hosts' load reports: several processes a host, honest or not, and a flood from a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+import socket
+import sys
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, cast
+
+import numpy as np
+
+from ..reports.envelope import NO_ECHO, Head, pack, pack_json
+from .host import Host
+from .trace import clock
+
+if TYPE_CHECKING:
+    from .runner import Lab
+    from .scenario import LoadReportsTraffic
+
+
+@dataclass(frozen=True)
+class Way:
+    """How a host reports while a fault strikes it. Times in ms."""
+
+    silent: bool = False
+    says: float | None = None
+    late: float = 0.0
+    skew: float = 0.0
+    loss: float = 0.0
+
+
+HONEST = Way()
+
+
+def body(load: float, json_form: bool) -> bytes:
+    if json_form:
+        return json.dumps({"application_utilization": load, "rps_fractional": 1.0}).encode()
+    from xds.data.orca.v3.orca_load_report_pb2 import OrcaLoadReport
+
+    return cast(bytes, OrcaLoadReport(application_utilization=load, rps_fractional=1.0).SerializeToString())
+
+
+class Socket(asyncio.DatagramProtocol):
+    """One a host: sends its processes' reports, hears the steward's ticks."""
+
+    def __init__(self) -> None:
+        self.echo = NO_ECHO
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        if data[:2] == b"oT":
+            self.echo = data[2:10]
+
+    def error_received(self, exc: Exception) -> None:
+        """The steward is down: nobody listens."""
+
+
+class Reporter:
+    def __init__(self, lab: Lab, conf: LoadReportsTraffic, port: int, key: bytes) -> None:
+        self.lab, self.conf, self.where, self.key = lab, conf, ("127.0.0.1", port), key or None
+        self.ways: dict[int, Way] = {}
+        self.sockets: dict[int, Socket] = {}
+        self.streams: dict[int, asyncio.StreamWriter] = {}
+        self.chance = np.random.default_rng([lab.seed, 5])
+        self.numbers = itertools.count(1)
+        self.skews: dict[int, float] = {}
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def run(self) -> None:
+        """Every process of every host speaks once in `every_ms`, spread over it."""
+        loop, parts = asyncio.get_running_loop(), 10
+        for part in itertools.cycle(range(parts)):
+            begun = clock()
+            for h in list(self.lab.hosts.values()):
+                if not h.up:
+                    continue
+                if h.number not in self.sockets:
+                    _, made = await loop.create_datagram_endpoint(Socket, remote_addr=self.where)
+                    self.sockets[h.number] = made
+                for process in range(self.conf.processes):
+                    if (h.number + process) % parts == part:
+                        await self.report(h, process)
+            wait = self.conf.every_ms / parts - (clock() - begun)
+            await asyncio.sleep(max(0.001, wait / 1000.0))
+
+    async def report(self, h: Host, process: int) -> None:
+        way = self.ways.get(h.number, HONEST)
+        load = round(h.utilization(self.conf.every_ms * 2), 4)
+        if way.silent or (way.loss and self.chance.random() < way.loss):
+            return
+        skew = 0.0
+        if way.skew:
+            skew = self.skews.setdefault(h.number, float(self.chance.uniform(-way.skew, way.skew)))
+        up = clock() - h.since if h.started else clock() + 1e7
+        echo = self.sockets[h.number].echo if self.conf.echo and not way.late else NO_ECHO
+        head = Head(
+            h.number, process, round(h.started), next(self.numbers), max(0.0, up - way.late),
+            time.time() * 1000.0 - way.late + skew, echo,
+        )  # fmt: skip
+        json_form = self.conf.form == "json"
+        data = body(load if way.says is None else way.says, json_form)
+        packet = pack_json(head, data, self.key) if json_form else pack(head, data, self.key)
+        if self.conf.form == "stream":
+            await self.stream(h.number, packet)
+        else:
+            self.sockets[h.number].transport.sendto(packet)
+
+    async def stream(self, host: int, packet: bytes) -> None:
+        writer = self.streams.get(host)
+        try:
+            if writer is None or writer.is_closing():
+                reader, writer = await asyncio.open_connection(*self.where)
+                self.streams[host] = writer
+                self.lab.spawn(self.ticks(host, reader))
+            if writer.transport.get_write_buffer_size() < 1 << 16:
+                writer.write(len(packet).to_bytes(2, "big") + packet)
+        except OSError:
+            self.streams.pop(host, None)
+
+    async def ticks(self, host: int, reader: asyncio.StreamReader) -> None:
+        try:
+            while True:
+                self.sockets[host].echo = (await reader.readexactly(10))[2:]
+        except (OSError, asyncio.IncompleteReadError):
+            return
+
+    async def flood(self, hosts: list[int], times: float, seconds: float) -> None:
+        usual = len(self.lab.hosts) * self.conf.processes * 1000.0 / self.conf.every_ms
+        started = {n: round(self.lab.hosts[n].started) for n in hosts}
+        key = (self.key or b"").hex()
+        args = json.dumps(
+            {"port": self.where[1], "hosts": started, "per_s": usual * times, "seconds": seconds, "key": key}
+        )
+        command = ["-m", "corallanding.lab.reporter", args]
+        env = {**os.environ, "PYTHONPATH": os.pathsep.join(p for p in sys.path if p)}
+        self.process = await asyncio.create_subprocess_exec(sys.executable, *command, env=env)
+        await self.process.wait()
+
+    def stop(self) -> None:
+        if self.process and self.process.returncode is None:
+            self.process.terminate()
+
+
+def pour(port: int, hosts: dict[int, int], per_s: float, seconds: float, key: bytes | None = None) -> int:
+    """Sends reports as fast as `per_s` for `seconds`: one in ten by strangers, half of the signed ones forged.
+
+    Returns how many went out.
+    """
+    out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    out.setblocking(False)
+    numbers = [*hosts] * 9 + [4_000_000_000 + k for k in range(max(1, len(hosts)))]
+    text = body(0.9, False)
+    begun, sent = time.monotonic(), 0
+    while (spent := time.monotonic() - begun) < seconds:
+        for _ in range(max(0, min(2_000, int(per_s * spent) - sent))):
+            host = numbers[sent % len(numbers)]
+            head = Head(host, sent % 7, hosts.get(host, 0), sent + 1, spent * 1000.0 + 1e7, time.time() * 1000.0)
+            try:
+                out.sendto(pack(head, text, key if sent % 2 else None), ("127.0.0.1", port))
+            except OSError:
+                pass
+            sent += 1
+        time.sleep(0.002)
+    return sent
+
+
+if __name__ == "__main__":
+    a = json.loads(sys.argv[1])
+    pour(a["port"], {int(k): v for k, v in a["hosts"].items()}, a["per_s"], a["seconds"], bytes.fromhex(a["key"]))
--- a/corallanding/lab/runner.py
+++ b/corallanding/lab/runner.py
@@ -22,6 +22,7 @@
 from .forwarder import Forwarder, Rules
 from .host import Host, HostSpec
 from .net import Net
+from .reporter import Reporter
 from .roster import Roster
 from .scenario import Scenario, steward_hcl
 from .trace import Trace, clock
@@ -60,6 +61,8 @@
         self.polls: list[dict[str, float]] = []
         self.tasks: set[asyncio.Task[Any]] = set()
         self.begun = 0.0
+        self.reporter: Reporter | None = None
+        self.reports_port = free_port()
 
     # ---- hosts and what the list hears of them ----------------------------------------------------------
 
@@ -165,6 +168,11 @@
             if count > before[1]:
                 point["ack_ms"] = (total - before[0]) / (count - before[1]) * 1000.0
             before = (total, count)
+            for name, figure in rows.items():
+                if name.startswith("load_reports{"):
+                    point[name.split('"')[1]] = figure
+                elif name.startswith("load_"):
+                    point[name] = figure
             self.polls.append(point)
 
     # ---- a run ------------------------------------------------------------------------------------------
@@ -220,7 +228,14 @@
         await self.build()
         store = str((self.out / "store.db").resolve())
         where = [f"127.0.0.1:{p}" for p in (self.port, self.door, self.roster.port)]
-        text = steward_hcl(s, where[0], where[1], where[2], store, self.seed, self.laxer)
+        key = b""
+        if s.load_reports:
+            key = b"a key of the lab's own" if s.load_reports.signed else b""
+            (self.out / "reports.key").write_bytes(key)
+            self.reporter = Reporter(self, s.load_reports, self.reports_port, key)
+        key_file = str((self.out / "reports.key").resolve()) if key else ""
+        reports = f"127.0.0.1:{self.reports_port}"
+        text = steward_hcl(s, where[0], where[1], where[2], store, self.seed, self.laxer, reports, key_file)
         (self.out / "steward.hcl").write_text(text)
         try:
             await self.start_steward()
@@ -230,6 +245,8 @@
             await self.settle()
             self.begun = clock() + 100.0
             self.spawn(self.poll())
+            if self.reporter:
+                self.spawn(self.reporter.run())
             faults = Faults(self)
             for fault in s.fault:
                 self.spawn(faults.play(fault, self.begun))
@@ -239,6 +256,8 @@
                 f.stopped = True
             for task in self.tasks:
                 task.cancel()
+            if self.reporter:
+                self.reporter.stop()
             await self.end_steward()
             for h in self.hosts.values():
                 h.kill()
--- a/corallanding/lab/scenario.py
+++ b/corallanding/lab/scenario.py
@@ -14,6 +14,7 @@
     ChannelBlock,
     Count,
     ForwardersBlock,
+    LoadReportsBlock,
     Ms,
     MsOrNone,
     OperationBlock,
@@ -27,6 +28,7 @@
     "crash", "deploy", "drain", "preempt", "shrink", "grow", "hang", "slow", "neighbour", "pauses", "hot_key",
     "heavy_tail", "counter_down", "zone_cut", "zone_loss", "one_sided", "slow_link", "answer_lost",
     "balancer_roll", "balancer_stall", "wrong_list", "give_up", "steward_kill", "roster_down", "store_down",
+    "report_flood", "report_stale", "report_silent", "report_lying", "report_skew", "report_loss",
 )  # fmt: skip
 
 
@@ -67,6 +69,20 @@
     add_ms: MsOrNone = 200.0
 
 
+class LoadReportsTraffic(LoadReportsBlock):
+    """The steward's block, and how the stand-in hosts report."""
+
+    listen: str = "127.0.0.1:0"
+    processes: Annotated[int, Field(ge=1, le=4096)] = 1
+    every_ms: Ms = 500.0
+    echo: bool = True
+    signed: bool = False
+    form: Literal["protobuf", "json", "stream"] = "protobuf"
+
+
+SENDING = ("processes", "every_ms", "echo", "signed", "form")
+
+
 class Fault(Block):
     """kind is the label. Times in seconds from the first arrival; part: share of what it strikes; size, extra and
     how as the vocabulary in `docs/scenarios.md` says; on: numbers instead of a part; steps: stop and start."""
@@ -103,6 +119,7 @@
     reports: ReportsBlock = ReportsBlock()
     forwarders: ForwardersBlock = ForwardersBlock()
     probe: ProbeBlock = ProbeBlock()
+    load_reports: LoadReportsTraffic | None = None
     fault: list[Fault] = []
 
 
@@ -120,7 +137,10 @@
     return f"{head}\n{rows}}}\n"
 
 
-def steward_hcl(s: Scenario, listen: str, door: str, roster: str, store: str, seed: int, laxer: bool) -> str:
+def steward_hcl(
+    s: Scenario, listen: str, door: str, roster: str, store: str, seed: int, laxer: bool, reports: str = "",
+    key: str = "",
+) -> str:  # fmt: skip
     """The configuration of the steward that serves this scenario. laxer: a sabotage may lift the channel's limits."""
     channel = s.channel.model_dump()
     if laxer:
@@ -129,6 +149,10 @@
         block("operation", {k: v for k, v in o.model_dump().items() if k not in ("share", "work_ms", "cv")}, name)
         for name, o in s.operation.items()
     )
+    loads = ""
+    if s.load_reports:
+        values = {k: v for k, v in s.load_reports.model_dump().items() if k not in SENDING}
+        loads = block("load_reports", {**values, "listen": reports, "key_file": key or None})
     warm = any(h.warm_gain > 0 for h in s.host.values())
     return (
         f"zones = {hcl_value(s.zones)}\n"
@@ -143,6 +167,7 @@
         + block("forwarders", {**s.forwarders.model_dump(), "count": s.fleet.forwarders})
         + block("probe", s.probe.model_dump())
         + block("door", {"listen": door})
+        + loads
     )
 
 
@@ -152,6 +177,8 @@
     out = "".join(f"{k} = {hcl_value(getattr(s, k))}\n" for k in top)
     for name in ("fleet", "traffic", "roster", "rules", "channel", "reports", "forwarders", "probe"):
         out += "\n" + block(name, getattr(s, name).model_dump())
+    if s.load_reports:
+        out += "\n" + block("load_reports", s.load_reports.model_dump())
     for kind, rows in (("host", s.host), ("operation", s.operation)):
         for label, row in rows.items():
             out += "\n" + block(kind, row.model_dump(), label)
--- /dev/null
+++ b/corallanding/reports/feed.py
@@ -0,0 +1,128 @@
+"""Load reports in the steward: keeps the intake process, feeds `worth`, and says when factors change."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from collections.abc import Callable
+from typing import Any, cast
+
+import msgspec
+
+from .. import interface as api
+from .envelope import Head, Load
+from .worth import Policy, Worth
+
+
+class Feed(asyncio.Protocol):
+    """clock: the steward's, in ms; wall: ms of the wall clock; zero: the steward's time of monotonic 0.
+
+    `changed()` is called when `worth.factors()` did; `counts` holds the intake's newest counts.
+    """
+
+    def __init__(
+        self, conf: dict[str, Any], policy: Policy, clock: Callable[[], float], wall: Callable[[], float],
+        zero: float, changed: Callable[[], None], log: Any, restart_most: float = 10_000.0,
+    ) -> None:  # fmt: skip
+        self.conf, self.clock, self.wall, self.zero, self.changed, self.log = conf, clock, wall, zero, changed, log
+        self.worth, self.counts, self.restart_most = Worth(policy), dict[str, int](), restart_most
+        self.hosts: list[int] = []
+        self.process: asyncio.subprocess.Process | None = None
+        self.transport: asyncio.Transport | None = None
+        self.held, self.stopped, self.restarts, self.port = bytearray(), False, 0, 0
+        self.task: asyncio.Task[None] | None = None
+        self.timers: dict[str, asyncio.TimerHandle] = {}
+
+    def start(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self.keep())
+        self.turn()
+        self.tick()
+
+    async def keep(self) -> None:
+        """Runs the intake, and again if it dies, with a growing, capped wait. Without it reports only age."""
+        loop = asyncio.get_running_loop()
+        while not self.stopped:
+            ours, theirs = socket.socketpair()
+            theirs.set_inheritable(True)
+            command = ["-m", "corallanding.reports.intake", str(theirs.fileno()), json.dumps(self.conf)]
+            env = {**os.environ, "PYTHONPATH": os.pathsep.join(p for p in sys.path if p)}
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, *command, pass_fds=[theirs.fileno()], env=env
+            )
+            theirs.close()
+            ours.setblocking(False)
+            begun = self.clock()
+            await loop.create_connection(lambda: self, sock=ours)
+            self.say(["hosts", self.hosts])
+            code = await self.process.wait()
+            if self.stopped:
+                return
+            self.restarts = 0 if self.clock() - begun > self.restart_most else self.restarts + 1
+            wait = min(self.restart_most, 100.0 * 2 ** min(self.restarts, 10))
+            self.log.error("intake of load reports ended", code=code, again_in_ms=wait)
+            await asyncio.sleep(wait / 1000.0)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport, self.held = cast(asyncio.Transport, transport), bytearray()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+
+    def say(self, item: Any) -> None:
+        if self.transport and not self.transport.is_closing():
+            body = msgspec.msgpack.encode(item)
+            self.transport.write(len(body).to_bytes(4, "big") + body)
+
+    def data_received(self, data: bytes) -> None:
+        self.held += data
+        while len(self.held) >= 4 and len(self.held) >= 4 + (size := int.from_bytes(self.held[:4], "big")):
+            kind, value = msgspec.msgpack.decode(bytes(self.held[4 : 4 + size]))
+            del self.held[: 4 + size]
+            if kind == "reports":
+                wall = self.wall()
+                for mono, host, process, started, seq, uptime, at, echo, utilization, rps, eps in value:
+                    head = Head(host, process, started, seq, uptime, at, echo)
+                    self.worth.report(self.zero + mono, wall, head, Load(utilization, rps, eps))
+            elif kind == "counts":
+                self.counts = value
+            elif kind == "ready":
+                self.port = value
+                self.log.info("load reports", port=value)
+
+    def listed(self, entries: dict[int, api.HostEntry], starts: dict[int, float], cold: float) -> None:
+        """The list as it stands: who may report, and since when each process runs."""
+        rows = {
+            h: (e.online_since, round(starts.get(h, 0.0)), e.online_since + cold if e.online_since else 0.0)
+            for h, e in entries.items()
+        }
+        self.worth.listed(rows)
+        hosts = sorted(rows)
+        if hosts != self.hosts:
+            self.hosts = hosts
+            self.say(["hosts", hosts])
+
+    def turn(self) -> None:
+        loop, worth = asyncio.get_running_loop(), self.worth
+        if worth.turn(self.clock()):
+            self.changed()
+        self.timers["turn"] = loop.call_later(worth.policy.window / 4000.0, self.turn)
+
+    def tick(self) -> None:
+        """A new tick, so that what echoes it shows its age. Unforeseeable: it cannot be echoed in advance."""
+        nonce = os.urandom(8)
+        self.worth.tick(self.clock(), nonce)
+        self.say(["tick", nonce])
+        wait = self.worth.policy.half_life / 8000.0
+        self.timers["tick"] = asyncio.get_running_loop().call_later(wait, self.tick)
+
+    def stop(self) -> None:
+        self.stopped = True
+        for timer in self.timers.values():
+            timer.cancel()
+        if self.transport:
+            self.transport.close()
+        if self.process and self.process.returncode is None:
+            self.process.terminate()
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -12,6 +12,8 @@
 import time
 from collections import deque
 from collections.abc import Callable, Sequence
+from importlib.util import find_spec
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -24,7 +26,11 @@
 from ..channel import Limits as ChannelLimits
 from ..config import ConfigFault, StewardConfig, load_steward
 from ..config import settings as settings_of
+from ..config.models import LoadReportsBlock
 from ..probe.prober import Prober
+from ..reports.feed import Feed
+from ..reports.weigh import changes, weigh
+from ..reports.worth import Policy
 from ..roster.source import LineRoster
 from ..roster.view import View, loopback
 from ..store import SqliteStore, Store, StoreFault, StoreHeld
@@ -116,6 +122,9 @@
         self.peer_transport: asyncio.DatagramTransport | None = None
         self.stopped: asyncio.Future[int] | None = None
         self.ready = False
+        self.feed: Feed | None = None
+        self.factors: dict[int, float] = {}
+        self.listed = False  # a list newer than the saved one has come in this life
 
     # ---- life ------------------------------------------------------------------------------------------
 
@@ -152,6 +161,9 @@
         if c.steward.peer_listen:
             where = loopback(c.steward.peer_listen)
             self.peer_transport, _ = await loop.create_datagram_endpoint(lambda: Peers(self), local_addr=where)
+        if c.load_reports:
+            self.feed = self.make_feed(c.load_reports)
+            self.feed.start()
         self.roster.start()
         self.watch_links()
         self.wake()
@@ -164,6 +176,32 @@
     def seed(self, life: int) -> int:
         return self.config.steward.seed * 1_000_003 + life
 
+    def make_feed(self, c: LoadReportsBlock) -> Feed:
+        """Raises OSError if the key cannot be read, or the libraries are not there."""
+        if not find_spec("xds"):
+            raise OSError("load_reports needs the extra: pip install 'corallanding[reports]'")
+        key = Path(c.key_file).read_bytes().strip().hex() if c.key_file else ""
+        names = ("listen", "sender_rate", "sender_burst", "processes_most", "reports_per_s", "tick_ms")
+        conf = {n: getattr(c, n) for n in (*names, "streams_most", "buffer_bytes")}
+        policy = Policy(
+            c.half_life_ms, c.expiry_ms, c.window_ms, c.step, c.floor, c.busy_from, c.tolerance, c.gain,
+            c.reporting_least, c.changes_most, c.stuck_after_ms, processes_most=c.processes_most,
+        )  # fmt: skip
+        zero = ORIGIN - self.clock.zero * 1000.0
+        return Feed({**conf, "key": key}, policy, self.clock, lambda: time.time() * 1000.0, zero, self.reweigh, log)
+
+    def reweigh(self) -> None:
+        """Factors changed: the module hears of the hosts concerned, by the list that it reads."""
+        if self.feed is None or not self.listed:
+            return  # before the first list of this life the module would take the change for that list
+        before, self.factors = self.factors, self.feed.worth.factors()
+        event = changes(self.view.entries, self.view.version, before, self.factors)
+        self.metrics.factors.set(len(self.factors))
+        if event:
+            log.info("load factors", factors={str(h): round(f, 3) for h, f in self.factors.items()})
+            self.engine.event(self.clock(), event)
+            self.wake()
+
     def stop(self, code: int = 0) -> None:
         """End cleanly: no new link, a last word to each forwarder, the store closed."""
         if self.stopped is None or self.stopped.done():
@@ -177,6 +215,8 @@
             self.door.close()
         self.roster.stop()
         self.prober.stop()
+        if self.feed:
+            self.feed.stop()
         if self.peer_transport:
             self.peer_transport.close()
         for handle in (self.timer, self.pump_timer):
@@ -258,6 +298,8 @@
                 self.recorder = None
         for e in events:
             self.metrics.events.labels(type(e).__name__).inc()
+            if self.feed and isinstance(e, api.HostSums):
+                self.feed.worth.seen(e.host, e.tries, e.errored, e.latency)
         for a in actions:
             self.metrics.actions.labels(type(a).__name__).inc()
         for output in self.engine.publish(self.keep(begun, writes)):
@@ -485,6 +527,11 @@
         moved = [h for h, a in self.view.addresses.items() if before.get(h, a) != a]
         if moved:
             self.engine.readdress(moved)
+        self.listed = True
+        if self.feed:
+            self.feed.listed(self.view.entries, self.view.starts, self.settings.cold)
+            self.factors = self.feed.worth.factors()
+            event = weigh(event, self.factors)
         self.engine.event(now, event)
         self.roster_dirty = True
         self.wake()
@@ -541,6 +588,11 @@
         return problem(503, "; ".join(wrong)) if wrong else Answer(200, b"ok\n", "text/plain")
 
     def metrics_page(self) -> Answer:
+        if self.feed:
+            for end, count in {**self.feed.counts, **vars(self.feed.worth.counts)}.items():
+                if end not in ("senders", "waiting"):
+                    self.metrics.reports.labels(end).set(count)
+            self.metrics.report_senders.set(self.feed.counts.get("senders", 0))
         return Answer(200, self.metrics.text(), "text/plain; version=0.0.4")
 
     def tables_page(self) -> Answer:
--- a/corallanding/telemetry/metrics.py
+++ b/corallanding/telemetry/metrics.py
@@ -35,5 +35,9 @@
         self.discarded = Gauge(p + "orders_discarded", "Orders outside the charge", registry=r)
         self.peer_drops = Counter(p + "peer_messages_dropped", "Peer datagrams that were not taken", registry=r)
 
+        self.reports = Gauge(p + "load_reports", "Load reports so far, by what became of them", ["end"], registry=r)
+        self.report_senders = Gauge(p + "load_report_senders", "Senders that are kept a slot for", registry=r)
+        self.factors = Gauge(p + "load_factors_below_one", "Hosts whose listed weight is lowered", registry=r)
+
     def text(self) -> bytes:
         return generate_latest(self.registry)
