--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 $(VENV)/.done: pyproject.toml constraints.txt
 	test -d $(VENV) || python3 -m venv $(VENV)
-	$(VENV)/bin/pip install -q -c constraints.txt -e '.[reports,lab,dev]'
+	$(VENV)/bin/pip install -q -c constraints.txt -e '.[reports,registry,lab,dev]'
 	touch $@
 
 test: setup
--- a/corallanding/config/models.py
+++ b/corallanding/config/models.py
@@ -118,7 +118,7 @@
 
 
 class RosterBlock(Block):
-    address: Address
+    address: Address | None = None
     mode: Literal["pushed", "on_request"] = "pushed"
     ask_within_ms: Ms = 10000.0
     weights: Literal["off", "nominal", "rough", "live"] = "off"
@@ -129,6 +129,35 @@
     timeout_ms: Ms = 2000.0
 
 
+class RegistryBlock(Block):
+    """A key-value registry as the source of hosts. See docs/registry.md; times in ms."""
+
+    kind: Literal["etcd", "consul"] = "etcd"
+    address: Address
+    prefix: Annotated[str, Field(min_length=1, max_length=200)] = "/corallanding/hosts/"
+    timeout_ms: Ms = 2000.0
+    wait_ms: Ms = 100.0
+    wait_most_ms: Ms = 10000.0
+    reads_per_min: Annotated[float, Field(gt=0, le=6000)] = 6.0
+    page: Annotated[int, Field(ge=1, le=100000)] = 1000
+    block_ms: Ms = 10000.0
+    token_file: str | None = None
+    ca_file: str | None = None
+    certificate_file: str | None = None
+    key_file: str | None = None
+    server_name: str | None = None
+
+    @model_validator(mode="after")
+    def paired(self) -> RegistryBlock:
+        if (self.certificate_file is None) != (self.key_file is None):
+            raise ValueError("certificate_file and key_file stand together")
+        if self.certificate_file and not self.ca_file:
+            raise ValueError("certificate_file needs ca_file")
+        if self.kind == "consul" and self.ca_file:
+            raise ValueError("ca_file: TLS is for kind etcd")
+        return self
+
+
 class ProbeBlock(Block):
     allowed: bool = True
     path: Annotated[str, Field(pattern=r"^/[!-~]*$", max_length=200)] = "/health"
@@ -200,7 +229,8 @@
 class StewardConfig(Block):
     steward: Identity
     store: StoreBlock
-    roster: RosterBlock
+    roster: RosterBlock = RosterBlock()
+    registry: RegistryBlock | None = None
     slices: SlicesBlock
     operation: Annotated[dict[str, OperationBlock], Field(min_length=1, max_length=30)]
     zones: Annotated[list[str], Field(min_length=1, max_length=65535)] = ["all"]
@@ -221,6 +251,10 @@
             raise ValueError(f"steward.zone {self.steward.zone!r} is not one of zones")
         if self.steward.number >= self.steward.stewards:
             raise ValueError("steward.number must be below steward.stewards")
+        if (self.roster.address is None) == (self.registry is None):
+            raise ValueError("roster.address or a registry block must stand, and not both")
+        if self.registry and self.roster.mode != "pushed":
+            raise ValueError("roster.mode is pushed where a registry is followed")
         # One message with every slice's two lines must fit for each forwarder, or a start cannot be published.
         least = self.channel.head_lines * 2 + 4
         if self.channel.queue_most_lines < least * self.forwarders.count:
--- /dev/null
+++ b/corallanding/lab/registry.py
@@ -0,0 +1,386 @@
+"""A stand-in registry on loopback: MVCC revisions, watches, leases, compaction and faults, by the etcd v3 API.
+
+Written from the published API; holds what its clients here need and nothing more. The same store answers Consul's
+blocking reads. Faults: cut every connection, refuse, compact, lag behind, cancel watches, cut answers into fragments,
+restore an older state under a new cluster id, expire tokens, answer slowly.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+import grpc
+import grpc.aio
+from aetcd.rpc import kv_pb2, rpc_pb2, rpc_pb2_grpc
+
+
+@dataclass
+class Version:
+    value: bytes
+    create: int
+    mod: int
+    version: int
+    lease: int
+
+
+@dataclass
+class Faults:
+    down: bool = False
+    lag: int = 0  # revisions that reads answer behind
+    fragment: int = 0  # rows an answer to a watch holds at most; 0: no limit
+    token: str = ""  # calls must carry it
+    delay: float = 0.0  # seconds before an answer
+
+
+@dataclass
+class Mvcc:
+    cluster: int = 0xC0FFEE
+    revision: int = 1
+    compacted: int = 0
+    keys: dict[bytes, Version] = field(default_factory=dict)
+    log: list[tuple[int, bytes, Version | None]] = field(default_factory=list)  # revision, key, what it became
+    leases: dict[int, tuple[float, float]] = field(default_factory=dict)  # lease: ttl s, ends
+    next_lease: int = 1000
+    calls: dict[str, int] = field(default_factory=dict)
+    faults: Faults = field(default_factory=Faults)
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    def count(self, call: str) -> None:
+        self.calls[call] = self.calls.get(call, 0) + 1
+
+    def at(self, revision: int) -> dict[bytes, Version]:
+        view: dict[bytes, Version] = {}
+        for r, key, v in self.log:
+            if r > revision:
+                break
+            if v is None:
+                view.pop(key, None)
+            else:
+                view[key] = v
+        return view
+
+    def write(self, changes: list[tuple[bytes, bytes | None, int]]) -> int:
+        """One revision with all changes (key, value or None, lease); nothing real, nothing written."""
+        real = [c for c in changes if c[1] is not None or c[0] in self.keys]
+        if not real:
+            return self.revision
+        self.revision += 1
+        for key, value, lease in real:
+            old = self.keys.get(key)
+            if value is None:
+                self.keys.pop(key, None)
+                self.log.append((self.revision, key, None))
+                continue
+            create, version = (old.create, old.version + 1) if old else (self.revision, 1)
+            new = Version(value, create, self.revision, version, lease)
+            self.keys[key] = new
+            self.log.append((self.revision, key, new))
+        return self.revision
+
+    def put(self, key: bytes, value: bytes | None, lease: int = 0) -> int:
+        return self.write([(key, value, lease)])
+
+    def compact(self, revision: int) -> None:
+        """Forget what was before `revision`; the newest of each key at it stays readable."""
+        self.compacted = max(self.compacted, revision)
+        base = self.at(self.compacted)
+        kept = sorted(((v.mod, k, v) for k, v in base.items()), key=lambda x: (x[0], x[1]))
+        self.log = [*kept, *(x for x in self.log if x[0] > self.compacted)]
+
+    def restore(self, revision: int) -> None:
+        """From a backup: the state of an older revision, under a new cluster id."""
+        view = self.at(revision)
+        self.log = [x for x in self.log if x[0] <= revision]
+        self.keys, self.revision, self.cluster = view, revision, self.cluster + 1
+
+    def end_leases(self, now: float) -> None:
+        over = [n for n, (_, ends) in self.leases.items() if now >= ends]
+        for n in over:
+            self.revoke(n)
+
+    def revoke(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        self.write([(k, None, 0) for k, v in self.keys.items() if v.lease == lease])
+
+
+def kv(key: bytes, v: Version) -> Any:
+    return kv_pb2.KeyValue(
+        key=key, value=v.value, create_revision=v.create, mod_revision=v.mod, version=v.version, lease=v.lease
+    )
+
+
+class Etcd(rpc_pb2_grpc.KVServicer, rpc_pb2_grpc.WatchServicer, rpc_pb2_grpc.LeaseServicer):  # type: ignore[misc]
+    def __init__(self, store: Mvcc) -> None:
+        self.store = store
+
+    def header(self, revision: int | None = None) -> Any:
+        s = self.store
+        return rpc_pb2.ResponseHeader(cluster_id=s.cluster, revision=s.revision if revision is None else revision)
+
+    async def enter(self, call: str, context: Any) -> None:
+        s = self.store
+        s.count(call)
+        if s.faults.delay:
+            await asyncio.sleep(s.faults.delay)
+        if s.faults.down:
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "the registry is down")
+        if s.faults.token:
+            meta = dict(context.invocation_metadata() or ())
+            if meta.get("token") != s.faults.token:
+                await context.abort(grpc.StatusCode.UNAUTHENTICATED, "etcdserver: invalid auth token")
+
+    async def notify(self) -> None:
+        async with self.store.changed:
+            self.store.changed.notify_all()
+
+    def rows(self, r: Any, view: dict[bytes, Version]) -> list[bytes]:
+        if not r.range_end:
+            return [r.key] if r.key in view else []
+        open_end = r.range_end == b"\0"
+        return sorted(k for k in view if k >= r.key and (open_end or k < r.range_end))
+
+    async def Range(self, request: Any, context: Any) -> Any:
+        await self.enter("Range", context)
+        s = self.store
+        now = max(1, s.revision - s.faults.lag) if request.serializable or s.faults.lag else s.revision
+        at = request.revision or now
+        if at < s.compacted:
+            await context.abort(
+                grpc.StatusCode.OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted"
+            )
+        view = s.keys if at == s.revision else s.at(at)
+        keys = self.rows(request, view)
+        limit = request.limit or len(keys)
+        return rpc_pb2.RangeResponse(
+            header=self.header(now), kvs=[kv(k, view[k]) for k in keys[:limit]], more=len(keys) > limit, count=len(keys)
+        )
+
+    async def Put(self, request: Any, context: Any) -> Any:
+        await self.enter("Put", context)
+        if request.lease and request.lease not in self.store.leases:
+            await context.abort(grpc.StatusCode.NOT_FOUND, "etcdserver: requested lease not found")
+        self.store.put(request.key, request.value, request.lease)
+        await self.notify()
+        return rpc_pb2.PutResponse(header=self.header())
+
+    def holds(self, c: Any) -> bool:
+        v = self.store.keys.get(c.key)
+        figures = {
+            rpc_pb2.Compare.VERSION: (v.version if v else 0, c.version),
+            rpc_pb2.Compare.CREATE: (v.create if v else 0, c.create_revision),
+            rpc_pb2.Compare.MOD: (v.mod if v else 0, c.mod_revision),
+            rpc_pb2.Compare.VALUE: (v.value if v else b"", c.value),
+        }
+        have, want = figures[c.target]
+        return bool(
+            {rpc_pb2.Compare.EQUAL: have == want, rpc_pb2.Compare.GREATER: have > want,
+             rpc_pb2.Compare.LESS: have < want, rpc_pb2.Compare.NOT_EQUAL: have != want}[c.result]
+        )  # fmt: skip
+
+    async def Txn(self, request: Any, context: Any) -> Any:
+        await self.enter("Txn", context)
+        if len(request.success) > 128 or request.ByteSize() > 1_500_000:
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "etcdserver: too many operations in txn request")
+        ok = all(self.holds(c) for c in request.compare)
+        changes: list[tuple[bytes, bytes | None, int]] = []
+        answers = []
+        for op in request.success if ok else request.failure:
+            if op.HasField("request_put"):
+                p = op.request_put
+                if p.lease and p.lease not in self.store.leases:
+                    await context.abort(grpc.StatusCode.NOT_FOUND, "etcdserver: requested lease not found")
+                changes.append((p.key, p.value, p.lease))
+            elif op.HasField("request_delete_range"):
+                changes += [(k, None, 0) for k in self.rows(op.request_delete_range, self.store.keys)]
+        self.store.write(changes)
+        await self.notify()
+        for op in request.success if ok else request.failure:
+            if op.HasField("request_range"):
+                keys = self.rows(op.request_range, self.store.keys)
+                found = rpc_pb2.RangeResponse(header=self.header(), kvs=[kv(k, self.store.keys[k]) for k in keys])
+                answers.append(rpc_pb2.ResponseOp(response_range=found))
+        return rpc_pb2.TxnResponse(header=self.header(), succeeded=ok, responses=answers)
+
+    async def Compact(self, request: Any, context: Any) -> Any:
+        await self.enter("Compact", context)
+        self.store.compact(request.revision)
+        return rpc_pb2.CompactionResponse(header=self.header())
+
+    async def Watch(self, request_iterator: Any, context: Any) -> None:
+        await self.enter("Watch", context)
+        s = self.store
+        create = None
+        async for request in request_iterator:
+            if request.HasField("create_request"):
+                create = request.create_request
+                break
+        if create is None:
+            return
+        at = create.start_revision or s.revision + 1
+        await context.write(rpc_pb2.WatchResponse(header=self.header(), created=True))
+        if at < s.compacted:
+            await context.write(
+                rpc_pb2.WatchResponse(header=self.header(), canceled=True, compact_revision=s.compacted,
+                                      cancel_reason="etcdserver: mvcc: required revision has been compacted")
+            )  # fmt: skip
+            return
+        asks = asyncio.create_task(self.progress_asked(request_iterator, context))
+        try:
+            while not asks.done():
+                rows = [x for x in s.log if x[0] >= at and create.key <= x[1] < create.range_end]
+                if rows:
+                    at = s.revision + 1
+                    await self.send(rows, context)
+                async with s.changed:
+                    try:
+                        await asyncio.wait_for(s.changed.wait(), 0.5)
+                    except TimeoutError:
+                        if create.progress_notify and not [x for x in s.log if x[0] >= at]:
+                            await context.write(rpc_pb2.WatchResponse(header=self.header()))
+        finally:
+            asks.cancel()
+
+    async def progress_asked(self, requests: Any, context: Any) -> None:
+        async for _ in requests:
+            pass
+
+    async def send(self, rows: list[tuple[int, bytes, Version | None]], context: Any) -> None:
+        events = [
+            kv_pb2.Event(type=kv_pb2.Event.PUT, kv=kv(k, v)) if v
+            else kv_pb2.Event(type=kv_pb2.Event.DELETE, kv=kv_pb2.KeyValue(key=k, mod_revision=r))
+            for r, k, v in rows
+        ]  # fmt: skip
+        most = self.store.faults.fragment or len(events)
+        for k in range(0, len(events), most):
+            last = k + most >= len(events)
+            await context.write(
+                rpc_pb2.WatchResponse(header=self.header(), events=events[k : k + most], fragment=not last)
+            )
+
+    async def LeaseGrant(self, request: Any, context: Any) -> Any:
+        await self.enter("LeaseGrant", context)
+        s = self.store
+        s.next_lease += 1
+        s.leases[s.next_lease] = (float(request.TTL), asyncio.get_running_loop().time() + request.TTL)
+        return rpc_pb2.LeaseGrantResponse(header=self.header(), ID=s.next_lease, TTL=request.TTL)
+
+    async def LeaseRevoke(self, request: Any, context: Any) -> Any:
+        await self.enter("LeaseRevoke", context)
+        self.store.revoke(request.ID)
+        await self.notify()
+        return rpc_pb2.LeaseRevokeResponse(header=self.header())
+
+    async def LeaseKeepAlive(self, request_iterator: Any, context: Any) -> None:
+        await self.enter("LeaseKeepAlive", context)
+        s = self.store
+        async for request in request_iterator:
+            ttl = 0.0
+            if request.ID in s.leases:
+                ttl = s.leases[request.ID][0]
+                s.leases[request.ID] = (ttl, asyncio.get_running_loop().time() + ttl)
+            await context.write(rpc_pb2.LeaseKeepAliveResponse(header=self.header(), ID=request.ID, TTL=int(ttl)))
+
+
+class Registry:
+    """The stand-in as a running server. `store` may be changed at will; call `poke` after."""
+
+    def __init__(self, port: int = 0, credentials: Any = None) -> None:
+        self.store, self.port, self.credentials = Mvcc(), port, credentials
+        self.server: Any = None
+        self.consul: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.consul_port = 0
+
+    async def start(self) -> None:
+        self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0)])
+        etcd = Etcd(self.store)
+        rpc_pb2_grpc.add_KVServicer_to_server(etcd, self.server)
+        rpc_pb2_grpc.add_WatchServicer_to_server(etcd, self.server)
+        rpc_pb2_grpc.add_LeaseServicer_to_server(etcd, self.server)
+        where = f"127.0.0.1:{self.port}"
+        if self.credentials:
+            self.port = self.server.add_secure_port(where, self.credentials)
+        else:
+            self.port = self.server.add_insecure_port(where)
+        await self.server.start()
+        self.consul = await asyncio.start_server(self.blocking_reads, "127.0.0.1", self.consul_port)
+        self.consul_port = self.consul.sockets[0].getsockname()[1]
+        self.clock = asyncio.create_task(self.run_leases())
+
+    async def run_leases(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            before = self.store.revision
+            self.store.end_leases(asyncio.get_running_loop().time())
+            if self.store.revision != before:
+                await self.poke()
+
+    async def poke(self) -> None:
+        async with self.store.changed:
+            self.store.changed.notify_all()
+
+    async def put(self, key: str, value: Any) -> int:
+        """value: anything JSON, raw bytes, or None to delete."""
+        raw = value if isinstance(value, bytes) or value is None else json.dumps(value).encode()
+        revision = self.store.put(key.encode(), raw)
+        await self.poke()
+        return revision
+
+    async def stop(self) -> None:
+        """Every connection breaks; the store stays as it is for the next start."""
+        self.clock.cancel()
+        for w in list(self.writers):
+            w.transport.abort()
+        if self.consul:
+            self.consul.close()
+        await self.server.stop(0)
+
+    # ---- Consul's way ----------------------------------------------------------------------------------
+
+    async def blocking_reads(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """GET /v1/kv/PREFIX?recurse&index=N&wait=Ns: answers once the index is over N, or the wait is."""
+        self.writers.add(writer)
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                target = head.split()[1].decode()
+                path, _, query = target.partition("?")
+                asked = dict(p.partition("=")[::2] for p in query.split("&"))
+                index, wait = int(asked.get("index", 0) or 0), float(asked.get("wait", "0s").rstrip("s") or 0)
+                s = self.store
+                s.count("consul")
+                end = asyncio.get_running_loop().time() + wait
+                while index and s.revision <= index and (left := end - asyncio.get_running_loop().time()) > 0:
+                    async with s.changed:
+                        try:
+                            await asyncio.wait_for(s.changed.wait(), left)
+                        except TimeoutError:
+                            break
+                status, body = (500, b"") if s.faults.down else self.kv_page(path)
+                told = max(1, s.revision - s.faults.lag)
+                writer.write(
+                    f"HTTP/1.1 {status} X\r\nX-Consul-Index: {told}\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+                    + body
+                )
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def kv_page(self, path: str) -> tuple[int, bytes]:
+        prefix = path.removeprefix("/v1/kv/").encode()
+        s = self.store
+        view = s.at(max(1, s.revision - s.faults.lag)) if s.faults.lag else s.keys
+        rows = [
+            {"Key": k.decode(), "Value": base64.b64encode(v.value).decode(), "ModifyIndex": v.mod,
+             "CreateIndex": v.create}
+            for k, v in sorted(view.items()) if k.startswith(prefix)
+        ]  # fmt: skip
+        return (200, json.dumps(rows).encode()) if rows else (404, b"")
+
+
--- a/corallanding/lab/runner.py
+++ b/corallanding/lab/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -60,7 +61,7 @@
         self.port, self.door = free_port(), free_port()
         self.polls: list[dict[str, float]] = []
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.begun = 0.0
+        self.begun, self.lost = 0.0, 0
         self.reporter: Reporter | None = None
         self.reports_port = free_port()
 
@@ -251,6 +252,7 @@
             for fault in s.fault:
                 self.spawn(faults.play(fault, self.begun))
             await self.clients.run(self.begun)
+            self.lost = await self.compare_tables()
         finally:
             for f in self.forwarders:
                 f.stopped = True
@@ -267,6 +269,23 @@
         self.trace.end()
         return self.judged()
 
+    async def compare_tables(self) -> int:
+        """Lines of the steward's tables that a joined forwarder lacks, or has beyond them, once all is quiet."""
+        lost = 0
+        for _ in range(60):
+            try:
+                _, page = await get(self.door, "/tables")
+            except (OSError, asyncio.IncompleteReadError):
+                await asyncio.sleep(0.1)
+                continue
+            tables = {int(t): {int(h) for h in row} for t, row in json.loads(page)["tables"].items()}
+            joined = [f for f in self.forwarders if f.joined]
+            lost = sum(len(tables[t] ^ set(f.tables.get(t, ()))) for f in joined for t in tables)
+            if not lost and len(joined) == len(self.forwarders):
+                return 0
+            await asyncio.sleep(0.1)
+        return lost
+
     def spawn(self, work: Any) -> None:
         self.tasks.add(asyncio.get_running_loop().create_task(work))
 
@@ -300,7 +319,7 @@
         s, records = self.scenario, self.trace.records
         verdicts, doubled = judge(records, self.limits())
         result = report.summary(records, self.begun, self.seed, s.name, verdicts, doubled, list(s.operation))
-        result["publisher"], result["lives"] = s.publisher, self.lives
+        result["publisher"], result["lives"], result["lines_lost"] = s.publisher, self.lives, self.lost
         if s.load_reports and self.polls:
             result["load_reports"] = {k: v for k, v in self.polls[-1].items() if k not in ("t", "waiting", "ack_ms")}
         report.write(self.out, result, [f"{f.kind} at {f.at_s:g} s" for f in s.fault])
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import random
 import signal
 import sys
 import time
@@ -31,7 +32,7 @@
 from ..reports.feed import Feed
 from ..reports.weigh import changes, weigh
 from ..reports.worth import Policy
-from ..roster.source import LineRoster
+from ..roster.source import LineRoster, Source
 from ..roster.view import View, loopback
 from ..store import SqliteStore, Store, StoreFault, StoreHeld
 from ..telemetry import Gate, Metrics, configure, log
@@ -146,11 +147,7 @@
         self.engine.addresses = self.view.addresses
         self.engine.begin(now, saved)
         self.metrics.store_well.set(1)
-        r = c.roster
-        self.roster = LineRoster(
-            r.address, self, lambda: self.view.version, r.mode == "on_request", r.line_most_bytes, r.wait_ms,
-            r.wait_most_ms, r.timeout_ms, c.steward.seed,
-        )  # fmt: skip
+        self.roster = self.make_source()
         host, port = loopback(c.steward.listen)
         self.servers.append(await loop.create_server(lambda: LinkProtocol(self), host, port, backlog=1024))
         if c.door:
@@ -176,6 +173,19 @@
     def seed(self, life: int) -> int:
         return self.config.steward.seed * 1_000_003 + life
 
+    def make_source(self) -> Source:
+        """Where the list of hosts comes from. Raises OSError if a file of it cannot be read."""
+        r, g, seed = self.config.roster, self.config.registry, self.config.steward.seed
+        if g:
+            from ..registry.source import make  # gRPC is imported only where it is asked for
+
+            return make(g, self, self.clock, random.Random(f"{seed}:{self.engine.life.number}").random)
+        assert r.address is not None
+        return LineRoster(
+            r.address, self, lambda: self.view.version, r.mode == "on_request", r.line_most_bytes, r.wait_ms,
+            r.wait_most_ms, r.timeout_ms, seed,
+        )  # fmt: skip
+
     def make_feed(self, c: LoadReportsBlock) -> Feed:
         """Raises OSError if the key cannot be read, or the libraries are not there."""
         if not find_spec("xds"):
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -66,7 +66,7 @@
     code, folder, said = runs["hard"]
     assert code == 0 and rules(folder) == [True] * 5, said
     result = json.loads((folder / "result.json").read_text())
-    assert result["doubles"] == 0 and result["lives"] == 2
+    assert result["doubles"] == 0 and result["lives"] == 2 and result["lines_lost"] == 0
     records = read(folder / "trace.jsonl.gz")
     running: dict[int, tuple[str, int]] = {}
     in_flight_moves = stalled_out = 0
