--- a/bench/load_reports.py
+++ b/bench/load_reports.py
@@ -17,21 +17,27 @@
 import sys
 import tempfile
 import time
+from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any
 
 import uvloop
 
+from corallanding import interface as api
+from corallanding.config import load_steward
 from corallanding.lab.reporter import body
-from corallanding.lab.runner import free_port, get
+from corallanding.lab.runner import free_port
 from corallanding.lab.scenario import Fault, load_scenario, scenario_hcl
 from corallanding.lab.trace import read
 from corallanding.reports.envelope import NO_ECHO, Head, pack
+from corallanding.steward.daemon import Steward
+from corallanding.telemetry import configure
+from corallanding.wire import frames
 
 from .machine import machine
 from .run import RESULTS
-from .turns import measure
+from .turns import CONFIG, measure
 
 KEY = b"bench"
 HOSTS, PROCESSES = 78, 64
@@ -231,62 +237,66 @@
         return list(pool.map(day, jobs))
 
 
-async def silent() -> dict[str, Any]:
-    """One host of ten says that it is overloaded, then nothing: how long its factor stands, seen at the door."""
-    from corallanding.lab.roster import Roster
-    from corallanding.lab.trace import Trace
+class Weights:
+    """A decider that lays the listed weights into table 0: so that they show on the forwarders' sockets."""
+
+    def __init__(self, settings: api.Settings, seed: int) -> None: ...
+
+    def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
+        lists = [e for e in events if isinstance(e, api.Membership)]
+        return [api.SetLine(0, x.host, x.weight) for e in lists for x in e.entries if x.state == "up"]
 
-    from .turns import CONFIG
 
+async def silent() -> dict[str, Any]:
+    """One host of ten says that it is overloaded, then nothing: how long its table line's weight stays lowered."""
     with tempfile.TemporaryDirectory() as folder:
         key = Path(folder) / "key"
         key.write_bytes(KEY)
-        roster, port, door = Roster(Trace()), free_port(), free_port()
-        await roster.start()
-        for h in range(10):
-            row = {"host": h, "state": "up", "address": "127.0.0.1:9", "zone": 0, "started": 0.0}
-            roster.rows[h] = row
-        roster.changed()
-        text = CONFIG.format(port=free_port(), folder=folder, roster=roster.port, slices=20, forwarders=1, rate=1e4,
-                             queue=1e4, lines=100)  # fmt: skip
-        text += BLOCK.format(port=port, key=key, processes=4).replace("reports_per_s", "half_life_ms = 1500\n  "
-                             "expiry_ms = 6000\n  window_ms = 1000\n  reports_per_s")  # fmt: skip
-        text += f'door {{\n  listen = "127.0.0.1:{door}"\n}}\n'
+        port = free_port()
+        text = CONFIG.format(port=0, folder=folder, roster=1, slices=20, forwarders=1, rate=1e4, queue=1e4, lines=100)
+        more = "half_life_ms = 1500\n  expiry_ms = 6000\n  window_ms = 1000\n  reports_per_s"
+        text += BLOCK.format(port=port, key=key, processes=4).replace("reports_per_s", more)
+        text = text.replace("forwarders {", "forwarders {\n  silence_ms = 600000")
         (Path(folder) / "s.hcl").write_text(text)
-        command = [sys.executable, "-m", "corallanding.cli.main", "steward", "--config", f"{folder}/s.hcl"]
-        steward = await asyncio.create_subprocess_exec(*command, stderr=asyncio.subprocess.DEVNULL)
-        out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        configure("json", "error")
+        steward = Steward(load_steward(Path(folder) / "s.hcl"), Weights)
+        await steward.start()
+        rows = [{"host": h, "state": "up", "address": "127.0.0.1:9"} for h in range(10)]
+        steward.roster_rows(True, 1, rows)
+        where = steward.servers[0].sockets[0].getsockname()[:2]
+        reader, writer = await asyncio.open_connection(*where)
+        writer.write(frames.encode(frames.Hello(frames.VERSION, 1, "1")))
+        told, weights = frames.Reader(frames.to_forwarder, 16 << 20), dict[int, float]()
 
-        async def lowered() -> float:
-            try:
-                _, page = await get(door, "/metrics")
-            except (OSError, asyncio.IncompleteReadError):
-                return -1.0
-            rows = [x for x in page.decode().splitlines() if x.startswith("corallanding_load_factors_below_one ")]
-            return float(rows[0].split()[1]) if rows else -1.0
-
-        try:
-            n, fell, gone = 0, 0.0, 0.0
-            begun = time.monotonic()
-            while time.monotonic() - begun < 60 and not gone:
-                for h in range(10):
-                    if h == 9 and fell:
-                        continue
-                    n += 1
-                    up = time.monotonic() * 1000.0
-                    head = Head(h, 0, 0, n, up, time.time() * 1000.0, NO_ECHO)
-                    load = 3.0 if h == 9 else 0.5 + 0.001 * (n % 9)
-                    out.sendto(pack(head, body(load, False), KEY), ("127.0.0.1", port))
-                figure = await lowered()
-                if not fell and figure == 1.0 and time.monotonic() - begun > 10:
-                    fell = time.monotonic()
-                elif fell and figure == 0.0:
-                    gone = time.monotonic()
-                await asyncio.sleep(0.1)
-        finally:
-            steward.terminate()
-            await steward.wait()
-    return {"expiry_ms": 6000, "half_life_ms": 1500, "influence_gone_after_ms": round((gone - fell) * 1000)}
+        async def listen() -> None:
+            while data := await reader.read(65536):
+                for f in told.feed(data):
+                    if isinstance(f, frames.Orders):
+                        weights.update({h: w for t, h, w in f.lines if t == 0})
+
+        listening = asyncio.create_task(listen())
+        out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        n, fell, gone, begun = 0, 0.0, 0.0, time.monotonic()
+        while time.monotonic() - begun < 60 and not gone:
+            for h in range(10):
+                if h == 9 and fell:
+                    continue
+                n += 1
+                up = time.monotonic() * 1000.0
+                head = Head(h, 0, 0, n, up, time.time() * 1000.0, NO_ECHO)
+                load = 3.0 if h == 9 else 0.5 + 0.001 * (n % 9)
+                out.sendto(pack(head, body(load, False), KEY), ("127.0.0.1", port))
+            if not fell and weights.get(9, 1.0) <= 0.5:
+                fell = time.monotonic()
+            elif fell and weights[9] == 1.0:
+                gone = time.monotonic()
+            await asyncio.sleep(0.05)
+        listening.cancel()
+        writer.close()
+        steward.stop()
+        await asyncio.sleep(0.1)
+    return {"expiry_ms": 6000, "half_life_ms": 1500, "lowest_weight": 0.5,
+            "weight_on_the_socket_whole_after_ms": round((gone - fell) * 1000) if gone else None}  # fmt: skip
 
 
 def chart(found: dict[str, Any]) -> None:
--- a/corallanding/lab/registry.py
+++ b/corallanding/lab/registry.py
@@ -47,7 +47,23 @@
     next_lease: int = 1000
     calls: dict[str, int] = field(default_factory=dict)
     faults: Faults = field(default_factory=Faults)
-    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+    waiters: set[asyncio.Future[None]] = field(default_factory=set)
+
+    def poke(self) -> None:
+        """Something changed: wake all that wait."""
+        for waiter in self.waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait(self, seconds: float) -> bool:
+        """Until something changes; false if nothing did in time."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.add(waiter)
+        try:
+            done, _ = await asyncio.wait({waiter}, timeout=seconds)
+            return bool(done)
+        finally:
+            self.waiters.discard(waiter)
 
     def count(self, call: str) -> None:
         self.calls[call] = self.calls.get(call, 0) + 1
@@ -133,10 +149,6 @@
             if meta.get("token") != s.faults.token:
                 await context.abort(grpc.StatusCode.UNAUTHENTICATED, "etcdserver: invalid auth token")
 
-    async def notify(self) -> None:
-        async with self.store.changed:
-            self.store.changed.notify_all()
-
     def rows(self, r: Any, view: dict[bytes, Version]) -> list[bytes]:
         if not r.range_end:
             return [r.key] if r.key in view else []
@@ -148,7 +160,7 @@
         s = self.store
         now = max(1, s.revision - s.faults.lag) if request.serializable or s.faults.lag else s.revision
         at = request.revision or now
-        if at < s.compacted:
+        if request.revision and at < s.compacted:  # a member that lags knows of no compaction yet
             await context.abort(
                 grpc.StatusCode.OUT_OF_RANGE, "etcdserver: mvcc: required revision has been compacted"
             )
@@ -164,7 +176,7 @@
         if request.lease and request.lease not in self.store.leases:
             await context.abort(grpc.StatusCode.NOT_FOUND, "etcdserver: requested lease not found")
         self.store.put(request.key, request.value, request.lease)
-        await self.notify()
+        self.store.poke()
         return rpc_pb2.PutResponse(header=self.header())
 
     def holds(self, c: Any) -> bool:
@@ -197,7 +209,7 @@
             elif op.HasField("request_delete_range"):
                 changes += [(k, None, 0) for k in self.rows(op.request_delete_range, self.store.keys)]
         self.store.write(changes)
-        await self.notify()
+        self.store.poke()
         for op in request.success if ok else request.failure:
             if op.HasField("request_range"):
                 keys = self.rows(op.request_range, self.store.keys)
@@ -235,12 +247,9 @@
                 if rows:
                     at = s.revision + 1
                     await self.send(rows, context)
-                async with s.changed:
-                    try:
-                        await asyncio.wait_for(s.changed.wait(), 0.5)
-                    except TimeoutError:
-                        if create.progress_notify and not [x for x in s.log if x[0] >= at]:
-                            await context.write(rpc_pb2.WatchResponse(header=self.header()))
+                changed = await s.wait(0.5)
+                if not changed and create.progress_notify and not [x for x in s.log if x[0] >= at]:
+                    await context.write(rpc_pb2.WatchResponse(header=self.header()))
         finally:
             asks.cancel()
 
@@ -271,7 +280,7 @@
     async def LeaseRevoke(self, request: Any, context: Any) -> Any:
         await self.enter("LeaseRevoke", context)
         self.store.revoke(request.ID)
-        await self.notify()
+        self.store.poke()
         return rpc_pb2.LeaseRevokeResponse(header=self.header())
 
     async def LeaseKeepAlive(self, request_iterator: Any, context: Any) -> None:
@@ -286,7 +295,7 @@
 
 
 class Registry:
-    """The stand-in as a running server. `store` may be changed at will; call `poke` after."""
+    """The stand-in as a running server. `store` may be changed at will; call `store.poke` after."""
 
     def __init__(self, port: int = 0, credentials: Any = None) -> None:
         self.store, self.port, self.credentials = Mvcc(), port, credentials
@@ -317,17 +326,13 @@
             before = self.store.revision
             self.store.end_leases(asyncio.get_running_loop().time())
             if self.store.revision != before:
-                await self.poke()
-
-    async def poke(self) -> None:
-        async with self.store.changed:
-            self.store.changed.notify_all()
+                self.store.poke()
 
     async def put(self, key: str, value: Any) -> int:
         """value: anything JSON, raw bytes, or None to delete."""
         raw = value if isinstance(value, bytes) or value is None else json.dumps(value).encode()
         revision = self.store.put(key.encode(), raw)
-        await self.poke()
+        self.store.poke()
         return revision
 
     async def stop(self) -> None:
@@ -354,11 +359,8 @@
                 s.count("consul")
                 end = asyncio.get_running_loop().time() + wait
                 while index and s.revision <= index and (left := end - asyncio.get_running_loop().time()) > 0:
-                    async with s.changed:
-                        try:
-                            await asyncio.wait_for(s.changed.wait(), left)
-                        except TimeoutError:
-                            break
+                    if not await s.wait(left):
+                        break
                 status, body = (500, b"") if s.faults.down else self.kv_page(path)
                 told = max(1, s.revision - s.faults.lag)
                 writer.write(
