One driver of the registry's view for hosts and for charge

Need: the source of hosts and the keeper of charge drove the same core by two copies of one loop. Change: registry/follow drives both.

--- a/corallanding/registry/keeper.py
+++ b/corallanding/registry/keeper.py
@@ -16,7 +16,8 @@
 from .charge import Action, Announce, Charge, Claim, Given, GrantLease, KeepAlive, Release, Terms
 from .connection import Compacted, Lost
 from .etcd import Etcd
-from .sync import Close, Delta, Follow, Header, Limits, List, Row, Say, Sync
+from .follow import Follower
+from .sync import Delta, Limits, Sync
 
 OPERATIONS_MOST = 100  # of one transaction; the registry's usual limit is 128
 BYTES_MOST = 1_000_000  # of one transaction; the registry's usual limit is 1.5 MiB
@@ -40,12 +41,6 @@
     def said(self, text: str) -> None: ...
 
 
-class Switch(Exception):
-    def __init__(self, then: Any) -> None:
-        super().__init__()
-        self.then = then
-
-
 class Keeper:
     """dial: a new connection; clock: ms. `write` raises `Fenced` or `Lost`; nothing is written without a charge."""
 
@@ -53,15 +48,20 @@
         self, dial: Callable[[], Etcd], base: str, me: int, slices: range, holder: Holder,
         clock: Callable[[], float], chance: Callable[[], float], terms: Terms, limits: Limits,
     ) -> None:  # fmt: skip
-        self.dial, self.base, self.holder, self.clock = dial, base.encode(), holder, clock
+        self.base, self.holder, self.clock = base.encode(), holder, clock
         self.charge = Charge(me, slices, terms)
-        self.sync = Sync(limits, chance)
-        self.conn: Etcd | None = None
+        self.follower = Follower(
+            dial, self.base, Sync(limits, chance), clock, self.took, holder.said,
+            lambda: self.charge.connection(True), lambda: self.charge.connection(False),
+        )  # fmt: skip
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.stopped = False
+
+    @property
+    def conn(self) -> Etcd | None:
+        return self.follower.conn
 
     def start(self) -> None:
-        self.spawn(self.follow())
+        self.spawn(self.follower.run())
         self.spawn(self.run())
 
     def spawn(self, work: Any) -> None:
@@ -71,11 +71,10 @@
 
     async def stop(self) -> None:
         """At once: leases run out by themselves. Call `leave` first, and wait for `empty`, for a planned end."""
-        self.stopped = True
-        for task in list(self.tasks):
+        tasks = list(self.tasks)
+        for task in tasks:
             task.cancel()
-        if self.conn:
-            await self.conn.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def leave(self) -> None:
         self.carry(self.charge.leave(self.clock()))
@@ -227,44 +226,6 @@
 
     # ---- the watch -------------------------------------------------------------------------------------
 
-    async def follow(self) -> None:
-        while not self.stopped:
-            self.conn = conn = self.dial()
-            then = self.carry_sync(self.sync.connected(self.clock()))
-            while not isinstance(then, Close):
-                try:
-                    if isinstance(then, List):
-                        header, rows, more = await conn.page(self.base, then.after, then.revision, self.sync.limits.page)
-                        then = self.carry_sync(self.sync.listed(self.clock(), header, rows, more))
-                    else:
-                        await conn.watch(self.base, then.revision, self)
-                        then = self.carry_sync(self.sync.broken(self.clock(), "the watch ended"))
-                except Switch as s:
-                    then = s.then
-                except Compacted:
-                    then = self.carry_sync(self.sync.list_compacted(self.clock()))
-                except Lost as fault:
-                    then = self.carry_sync(self.sync.broken(self.clock(), str(fault)))
-            self.charge.connection(False)
-            self.holder.said(f"registry: {then.why}")
-            self.conn = None
-            await conn.close()
-            await asyncio.sleep(then.wait / 1000.0)
-
-    def carry_sync(self, actions: list[Any]) -> List | Follow | Close:
-        then: List | Follow | Close | None = None
-        for a in actions:
-            if isinstance(a, Delta):
-                self.took(a)
-            elif isinstance(a, Say):
-                self.holder.said(f"registry: {a.text}")
-            else:
-                then = a
-        if isinstance(then, Follow):
-            self.charge.connection(True)
-        assert then is not None
-        return then
-
     def took(self, d: Delta) -> None:
         now = self.clock()
         for row in d.rows:
@@ -278,22 +239,3 @@
                 holder = int(value) if value.isdigit() else None
                 # A charge key is put once and deleted: its revision is its create revision.
                 self.carry(self.charge.holder(now, int(name), holder, row.revision))
-
-    def heard(self, actions: list[Any]) -> None:
-        for k, a in enumerate(actions):
-            if isinstance(a, Delta):
-                self.took(a)
-            else:
-                raise Switch(self.carry_sync(actions[k:]))
-
-    def created(self, header: Header) -> None:
-        self.heard(self.sync.created(self.clock(), header))
-
-    def changes(self, header: Header, rows: list[Row], fragment: bool) -> None:
-        self.heard(self.sync.watched(self.clock(), header, rows, fragment))
-
-    def progress(self, header: Header) -> None:
-        self.heard(self.sync.progress(self.clock(), header))
-
-    def cancelled(self, header: Header | None, compacted: int, why: str) -> None:
-        self.heard(self.sync.cancelled(self.clock(), header, compacted, why))
--- a/tests/test_registry_keeper.py
+++ b/tests/test_registry_keeper.py
@@ -118,7 +118,7 @@
             await sleeper.write({x: {666: 1.0} for x in mine})
         # Even one that believed its clock: the registry's transaction refuses it.
         sleeper.charge.until = clock() + 1e9
-        sleeper.conn = Etcd(f"127.0.0.1:{r.port}", 500.0)
+        sleeper.follower.conn = Etcd(f"127.0.0.1:{r.port}", 500.0)
         with pytest.raises(Fenced, match=f"{len(mine)} slices"):
             await sleeper.write({x: {666: 1.0} for x in mine})
         tables = {k: v for k, v in r.store.keys.items() if b"tables" in k}
