Stewards share slices through the registry: charge, fenced tables, planned ends

Need: several stewards on one set of slices, without two that ever write or speak for one. Change: registry { charge = true }: slices are given and taken by leases in the registry, each step's tables are written there, fenced, before they are sent; SIGTERM hands slices over first. While the registry is away, tables stand and known drains go out; refused writes are never sent.

--- a/corallanding/config/models.py
+++ b/corallanding/config/models.py
@@ -146,6 +146,11 @@
     certificate_file: str | None = None
     key_file: str | None = None
     server_name: str | None = None
+    charge: bool = False  # slices and tables are shared with other stewards there
+    base: Annotated[str, Field(min_length=1, max_length=200)] = "/corallanding/stewards/"
+    lease_ms: Annotated[float, Field(ge=1000, le=600_000)] = 5000.0
+    write_within_ms: Ms = 500.0
+    retire_within_ms: Ms = 5000.0
 
     @model_validator(mode="after")
     def paired(self) -> RegistryBlock:
@@ -155,6 +160,10 @@
             raise ValueError("certificate_file needs ca_file")
         if self.kind == "consul" and self.ca_file:
             raise ValueError("ca_file: TLS is for kind etcd")
+        if self.kind == "consul" and self.charge:
+            raise ValueError("charge: leases and fenced writes are for kind etcd")
+        if self.prefix.startswith(self.base):
+            raise ValueError("base holds prefix: hosts and stewards need places of their own")
         return self
 
 
--- a/corallanding/lab/forwarder.py
+++ b/corallanding/lab/forwarder.py
@@ -265,8 +265,7 @@
             case frames.Orders():
                 for table in frame.resets:
                     self.tables[table] = {}
-                for table in frame.withdrawn:
-                    self.tables.pop(table, None)
+                # What is withdrawn stands until the steward that has it now sends its tables.
                 self.addresses.update(frame.addresses)
                 for table, host, weight in frame.lines:
                     lines = self.tables.setdefault(table, {})
--- a/corallanding/registry/keeper.py
+++ b/corallanding/registry/keeper.py
@@ -1,7 +1,8 @@
 """The charge of slices and their tables in an etcd v3 registry: carries out what `charge` decides.
 
-Keys under `base`: members/<steward>, charge/<slice>, tables/<slice> (JSON: host to weight). One watch; a table is
-written in a transaction that compares the fence of its slice, many slices a transaction up to the registry's limits.
+Keys under `base`: who/members/<steward>, who/charge/<slice>, tables/<slice> (JSON: host to weight). One watch, on
+`who/`; a table is written in a transaction that compares the fence of its slice, many slices a transaction up to the
+registry's limits.
 """
 
 from __future__ import annotations
@@ -49,9 +50,10 @@
         clock: Callable[[], float], chance: Callable[[], float], terms: Terms, limits: Limits,
     ) -> None:  # fmt: skip
         self.base, self.holder, self.clock = base.encode(), holder, clock
+        self.watched = self.base + b"who/"
         self.charge = Charge(me, slices, terms)
         self.follower = Follower(
-            dial, self.base, Sync(limits, chance), clock, self.took, holder.said,
+            dial, self.watched, Sync(limits, chance), clock, self.took, holder.said,
             lambda: self.charge.connection(True), lambda: self.charge.connection(False),
         )  # fmt: skip
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -135,12 +137,12 @@
                     self.carry(c.kept(self.clock(), await self.keep_alive(conn, lease)))
                 case Announce(lease, leaving):
                     value = b"leaving" if leaving else b"here"
-                    put = rpc_pb2.PutRequest(key=self.key("members", c.me), value=value, lease=lease)
+                    put = rpc_pb2.PutRequest(key=self.key("who/members", c.me), value=value, lease=lease)
                     await conn.call(conn.kv.Put, put)
                 case Claim(slice, lease):
                     self.carry(c.claimed(self.clock(), slice, lease, await self.claim(conn, slice, lease)))
                 case Release(slice, fence):
-                    key = self.key("charge", slice)
+                    key = self.key("who/charge", slice)
                     await conn.call(conn.kv.Txn, rpc_pb2.TxnRequest(
                         compare=[self.same(key, fence)],
                         success=[rpc_pb2.RequestOp(request_delete_range=rpc_pb2.DeleteRangeRequest(key=key))],
@@ -174,7 +176,7 @@
 
     async def claim(self, conn: Etcd, slice: int, lease: int) -> int:
         """The create revision of the charge key that is ours now; 0 if another has it."""
-        key = self.key("charge", slice)
+        key = self.key("who/charge", slice)
         put = rpc_pb2.PutRequest(key=key, value=str(self.charge.me).encode(), lease=lease)
         answer = await conn.call(conn.kv.Txn, rpc_pb2.TxnRequest(
             compare=[self.same(key, 0)], success=[rpc_pb2.RequestOp(request_put=put)],
@@ -213,7 +215,7 @@
         if conn is None:
             raise Lost("the registry is not reached")
         answer = await conn.call(conn.kv.Txn, rpc_pb2.TxnRequest(
-            compare=[self.same(self.key("charge", s), held[s]) for s in slices],
+            compare=[self.same(self.key("who/charge", s), held[s]) for s in slices],
             success=[
                 rpc_pb2.RequestOp(request_put=rpc_pb2.PutRequest(
                     key=self.key("tables", s), value=msgspec.json.encode(dict(tables[s])),
@@ -229,7 +231,7 @@
     def took(self, d: Delta) -> None:
         now = self.clock()
         for row in d.rows:
-            kind, _, name = row.key[len(self.base) :].decode("ascii", "replace").partition("/")
+            kind, _, name = row.key[len(self.watched) :].decode("ascii", "replace").partition("/")
             if not name.isdigit():
                 continue
             if kind == "members":
--- a/corallanding/registry/source.py
+++ b/corallanding/registry/source.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from ..config.models import RegistryBlock
     from ..roster.source import Listener
+    from .etcd import Etcd
 
 
 def row_of(prefix: bytes, row: Row) -> dict[str, Any] | None:
@@ -82,33 +83,37 @@
             self.listener.roster_rows(False, d.revision, rows)
 
 
+def text(path: str | None) -> bytes | None:
+    return Path(path).read_bytes() if path else None
+
+
+def etcd(c: RegistryBlock) -> Callable[[], Etcd]:
+    """New connections as configured. Raises OSError if one of the files cannot be read."""
+    from .etcd import Etcd, Tls
+
+    token = (text(c.token_file) or b"").decode().strip()
+    ca = text(c.ca_file)
+    tls = Tls(ca, text(c.certificate_file), text(c.key_file), c.server_name) if ca else None
+    return lambda: Etcd(c.address, c.timeout_ms, tls, token)
+
+
 def make(
     c: RegistryBlock, listener: Listener, clock: Callable[[], float], chance: Callable[[], float]
 ) -> RegistrySource:
     """The source that a configuration names. Raises OSError if one of its files cannot be read."""
 
-    def text(path: str | None) -> bytes | None:
-        return Path(path).read_bytes() if path else None
-
-    token = (text(c.token_file) or b"").decode().strip()
     rate = c.reads_per_min
     dial: Callable[[], Connection]
     if c.kind == "consul":
         from .consul import Consul
 
         rate = max(rate, 6_000.0)  # every change is a read there: bounded by the registry's own blocking
+        token = (text(c.token_file) or b"").decode().strip()
         consul = Consul(c.address, c.timeout_ms, c.block_ms, token)  # it keeps index and epoch over breaks
 
         def dial() -> Connection:
             return consul
     else:
-        from .etcd import Etcd, Tls
-
-        ca = text(c.ca_file)
-        tls = Tls(ca, text(c.certificate_file), text(c.key_file), c.server_name) if ca else None
-
-        def dial() -> Connection:
-            return Etcd(c.address, c.timeout_ms, tls, token)
-
+        dial = etcd(c)
     limits = Limits(c.wait_ms, c.wait_most_ms, rate, c.page)
     return RegistrySource(dial, c.prefix, listener, clock, chance, limits)
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Sequence
 from importlib.util import find_spec
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import uvloop
@@ -27,7 +27,7 @@
 from ..channel import Limits as ChannelLimits
 from ..config import ConfigFault, StewardConfig, load_steward
 from ..config import settings as settings_of
-from ..config.models import LoadReportsBlock
+from ..config.models import LoadReportsBlock, RegistryBlock
 from ..probe.prober import Prober
 from ..reports.feed import Feed
 from ..reports.weigh import changes, weigh
@@ -42,6 +42,9 @@
 from .links import LinkProtocol
 from .record import Recorder
 
+if TYPE_CHECKING:
+    from ..registry.keeper import Keeper
+
 ORIGIN = 1e9  # ms: where the clock begins, so that a start "long ago" (0) lies further back than any setting
 
 
@@ -125,6 +128,8 @@
         self.ready = False
         self.feed: Feed | None = None
         self.factors: dict[int, float] = {}
+        self.keeper: Keeper | None = None
+        self.writing: asyncio.Task[None] | None = None
         self.listed = False  # a list newer than the saved one has come in this life
 
     # ---- life ------------------------------------------------------------------------------------------
@@ -135,14 +140,15 @@
         life = self.store.open()
         s, c = self.config.slices, self.config
         charge = range(s.first, s.count if s.last is None else s.last + 1)
+        shared = c.registry is not None and c.registry.charge
         now, wall = self.clock(), time.time() * 1000.0
         if self.record:
             # The seed of a life is its own: a restart must not draw the same chances again.
             self.recorder = Recorder(self.record, self.settings, self.seed(life.number), c.record.most_mb * 1e6)
         self.engine = core.Engine(
-            self.settings, self.seed(life.number), life, charge, self.view.addresses, self.decider
+            self.settings, self.seed(life.number), life, () if shared else charge, self.view.addresses, self.decider
         )
-        self.engine.recall_until = now + c.forwarders.silence_ms * 2
+        self.engine.recall_until = now + c.forwarders.silence_ms * 2 if not shared else now - 1.0
         saved = self.view.restore(now, wall, life.roster_version, life.roster, life.addresses, life.starts)
         self.engine.addresses = self.view.addresses
         self.engine.begin(now, saved)
@@ -162,6 +168,9 @@
             self.feed = self.make_feed(c.load_reports)
             self.feed.start()
         self.roster.start()
+        if c.registry and shared:
+            self.keeper = self.make_keeper(c.registry, charge)
+            self.keeper.start()
         self.watch_links()
         self.wake()
         self.ready = True
@@ -186,6 +195,38 @@
             r.wait_most_ms, r.timeout_ms, seed,
         )  # fmt: skip
 
+    def make_keeper(self, g: RegistryBlock, slices: range) -> Keeper:
+        """Charge and tables of slices in the registry, shared with other stewards."""
+        from ..registry.charge import Terms
+        from ..registry.keeper import Keeper
+        from ..registry.source import etcd
+        from ..registry.sync import Limits as SyncLimits
+
+        me, limits = self.config.steward.number, SyncLimits(g.wait_ms, g.wait_most_ms, g.reads_per_min, g.page)
+        chance = random.Random(f"{self.config.steward.seed}:{me}:{self.engine.life.number}").random
+        return Keeper(etcd(g), g.base, me, slices, self, self.clock, chance, Terms(g.lease_ms), limits)
+
+    def given(self, slice: int, lines: dict[int, float]) -> None:
+        """The registry gave a slice into our charge, with its table as kept there."""
+        self.engine.charged(self.clock(), slice, True, lines)
+        self.wake()
+
+    def taken(self, slice: int) -> None:
+        self.engine.charged(self.clock(), slice, False)
+        self.wake()
+
+    def said(self, text: str) -> None:
+        self.gate.warn("registry", why=text)
+
+    async def retire(self) -> None:
+        """A planned end: slices go to the other stewards first, as long as the settings wait for it."""
+        if self.keeper and self.config.registry:
+            self.keeper.leave()
+            end = self.clock() + self.config.registry.retire_within_ms
+            while not self.keeper.empty and self.clock() < end:
+                await asyncio.sleep(0.02)
+        self.stop()
+
     def make_feed(self, c: LoadReportsBlock) -> Feed:
         """Raises OSError if the key cannot be read, or the libraries are not there."""
         if not find_spec("xds"):
@@ -227,6 +268,10 @@
         self.prober.stop()
         if self.feed:
             self.feed.stop()
+        if self.keeper:
+            self.ending = asyncio.get_running_loop().create_task(self.keeper.stop())
+        if self.writing:
+            self.writing.cancel()
         if self.peer_transport:
             self.peer_transport.close()
         for handle in (self.timer, self.pump_timer):
@@ -276,7 +321,7 @@
     def wake(self) -> None:
         """A step comes at the engine's next due time, and never sooner than a turn after the last."""
         due = self.engine.next_at(self.clock())
-        if due is None or self.stopped is None or self.stopped.done():
+        if due is None or self.stopped is None or self.stopped.done() or self.writing:
             return
         at = max(due, self.stepped_at + self.config.steward.turn_ms)
         if at >= self.timer_at:
@@ -312,7 +357,51 @@
                 self.feed.worth.seen(e.host, e.tries, e.errored, e.latency)
         for a in actions:
             self.metrics.actions.labels(type(a).__name__).inc()
-        for output in self.engine.publish(self.keep(begun, writes)):
+        if self.keeper and begun >= self.store_again and (writes.lines or writes.resets):
+            # The next step waits for this one's write: what is sent is kept first, there too.
+            self.writing = asyncio.get_running_loop().create_task(self.keep_shared(begun))
+            return
+        self.finish(begun, not self.store_faults if self.keeper else self.keep(begun, writes))
+
+    async def keep_shared(self, begun: float) -> None:
+        """Write the step's tables to the registry, fenced. What is refused is not sent; what cannot be reached in
+        time is sent all the same while the lease surely stands, and written later."""
+        assert self.keeper and self.config.registry
+        engine, stored = self.engine, False
+        tables = {t: dict(engine.state.tables.get(t, {})) for t in engine.unsaved if t in engine.charge}
+        try:
+            async with asyncio.timeout(self.config.registry.write_within_ms / 1000.0):
+                await self.keeper.write(tables)
+            stored = True
+        except TimeoutError:
+            self.shared_fault("no answer in time")
+        except Exception as fault:
+            if type(fault).__name__ == "Fenced":
+                engine.fenced(self.clock())
+                log.warning("fenced", why=str(fault))
+            self.shared_fault(str(fault))
+        if not stored and not self.keeper.charge.may_speak(self.clock()):
+            engine.fenced(self.clock())
+        if stored:
+            self.store_faults, self.store_fault = 0, ""
+            self.metrics.store_well.set(1)
+        self.writing = None
+        if self.stopped and not self.stopped.done():
+            self.finish(begun, stored)
+
+    def shared_fault(self, why: str) -> None:
+        s = self.config.store
+        self.store_faults, self.store_fault = self.store_faults + 1, why
+        self.store_again = self.clock() + min(s.retry_most_ms, s.retry_ms * 2 ** min(self.store_faults, 20))
+        self.metrics.store_faults.inc()
+        self.metrics.store_well.set(0)
+        wait = (self.store_again - self.clock()) / 1000.0 + 0.002
+        asyncio.get_running_loop().call_later(wait, self.retry_store)
+        self.gate.warn("registry does not write; tables go out unsaved", why=why)
+
+    def finish(self, begun: float, stored: bool) -> None:
+        """The second half of a step."""
+        for output in self.engine.publish(stored):
             self.carry_out(begun, output)
         self.metrics.step.observe((self.clock() - begun) / 1000.0)
         self.metrics.unsaved.set(len(self.engine.unsaved))
@@ -637,9 +726,9 @@
     except OSError as fault:
         log.error("cannot start", why=str(fault))
         return 5
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, steward.stop)
-    loop.add_signal_handler(signal.SIGINT, steward.stop)
+    loop, retiring = asyncio.get_running_loop(), list[asyncio.Task[None]]()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, lambda: retiring.append(loop.create_task(steward.retire())))
     loop.add_signal_handler(signal.SIGHUP, steward.reload)
     assert steward.stopped is not None
     code = await steward.stopped
--- a/corallanding/steward/engine.py
+++ b/corallanding/steward/engine.py
@@ -146,6 +146,8 @@
             self.state.tables.pop(slice, None)
             for key in [k for k in self.state.levels if k[0] == slice]:
                 del self.state.levels[key]
+            self.unsaved.pop(slice, None)
+            self.unsaved_resets.discard(slice)
             self.event(now, api.SliceGiven(slice, False))
             self.pending.append(self.order(to=tuple(self.joined), withdrawn=[slice]))
         self.snapshot = None
@@ -389,6 +391,14 @@
         )  # fmt: skip
         return Send(frames.encode(frame), sum(1 + len(lines) for _, lines in rows), -1, tuple(self.joined))
 
+    def fenced(self, now: float) -> None:
+        """The step's writes were refused for a slice that is not ours any more: nothing of the step's messages may
+        go out. Forwarders get the tables that are still ours anew instead; the module's mark goes unanswered, and
+        its hold ends by time."""
+        self.pending = [o for o in self.pending if not isinstance(o, Send)]
+        if touched := sorted(t for t in self.unsaved if t in self.charge):
+            self.pending.append(self.reread(touched))
+
     def publish(self, stored: bool) -> list[Output]:
         """The rest of the step, after the store wrote (`stored`) or could not.
 
