--- a/corallanding/lab/registry.py
+++ b/corallanding/lab/registry.py
@@ -10,9 +10,14 @@
 import asyncio
 import base64
 import json
+import os
 from dataclasses import dataclass, field
 from typing import Any
 
+# Its handlers run in the child between fork and exec, and abort it now and then while calls are open: stewards that
+# this process starts must not die of the stand-in. Children of this process use no gRPC before their exec.
+os.environ.setdefault("GRPC_ENABLE_FORK_SUPPORT", "0")
+
 import grpc
 import grpc.aio
 from aetcd.rpc import kv_pb2, rpc_pb2, rpc_pb2_grpc
--- a/corallanding/steward/engine.py
+++ b/corallanding/steward/engine.py
@@ -113,6 +113,8 @@
         self.last: tuple[float, list[api.Event], list[api.Action]] | None = None  # for the recorder
         self.snapshot: tuple[int, bytes] | None = None
         self.pending: list[Output] = []
+        self.anew: set[int] = set()  # slices given since the last step: one message tells of all
+        self.gone: set[int] = set()  # and those taken away
         self.unsaved: dict[int, dict[int, float]] = {}  # tables whose last writes the store did not take
         self.unsaved_resets: set[int] = set()
 
@@ -140,7 +142,8 @@
             self.charge.add(slice)
             self.state.tables[slice] = dict(lines or {})
             self.given(now, slice)
-            self.pending.append(self.reread([slice]))
+            self.gone.discard(slice)
+            self.anew.add(slice)
         elif slice in self.charge:
             self.charge.discard(slice)
             self.state.tables.pop(slice, None)
@@ -149,7 +152,8 @@
             self.unsaved.pop(slice, None)
             self.unsaved_resets.discard(slice)
             self.event(now, api.SliceGiven(slice, False))
-            self.pending.append(self.order(to=tuple(self.joined), withdrawn=[slice]))
+            self.anew.discard(slice)
+            self.gone.add(slice)
         self.snapshot = None
 
     def join(self, now: float, hello: frames.Hello) -> bytes:
@@ -187,7 +191,7 @@
                 changed.append(table)
         if changed:
             self.snapshot = None
-            self.pending.append(self.reread(changed))
+            self.anew.update(changed)
         return changed
 
     def leave(self, now: float, forwarder: int) -> None:
@@ -242,6 +246,13 @@
         points: dict[int, list[tuple[int, int]]] = {}
         mark, everyone = -1, False
         out = self.pending
+        # A steward that takes over hundreds of slices must not send each forwarder as many messages.
+        if self.gone and self.joined:
+            self.seq += 1
+            out.append(self.order(to=tuple(self.joined), withdrawn=sorted(self.gone)))
+        if self.anew and self.joined:
+            out.append(self.reread(sorted(self.anew)))
+        self.anew, self.gone = set(), set()
         for a in actions:
             match a:
                 case api.SetLine():
