--- a/bench/registry.py
+++ b/bench/registry.py
@@ -73,7 +73,7 @@
         for me in range(STEWARDS):
             text = CONFIG.format(port=ports[me], folder=folder, roster=1, slices=SLICES, forwarders=FORWARDERS,
                                  rate=1e5, queue=(8 + 2 * SLICES) * FORWARDERS * 2, lines=2000)  # fmt: skip
-            block = f'registry {{\n  address = "127.0.0.1:{r.port}"\n  charge = true\n  lease_ms = 10000\n}}\n'
+            block = f'registry {{\n  address = "127.0.0.1:{r.port}"\n  charge = true\n  lease_ms = 3000\n}}\n'
             text = text.replace('roster {\n  address = "127.0.0.1:1"\n}\n', block).replace("/s.db", f"/{me}.db")
             text = text.replace("steward {", f"steward {{\n  number = {me}\n  stewards = {STEWARDS}")
             path = Path(folder) / f"{me}.hcl"
@@ -132,7 +132,7 @@
                     p.kill()
             await r.stop()
     return {"change_to_every_forwarder": quantiles(drains), "slices_of_the_killed_steward": len(before),
-            "killed_to_all_slices_spoken_for_ms": round(takeover), "lease_ms": 10000}  # fmt: skip
+            "killed_to_all_slices_spoken_for_ms": round(takeover), "lease_ms": 3000}  # fmt: skip
 
 
 class Seat:
--- a/bench/turns.py
+++ b/bench/turns.py
@@ -81,8 +81,11 @@
     def data_received(self, data: bytes) -> None:
         for f in self.reader.feed(data):
             if isinstance(f, frames.Tables):
-                self.tables = {t: {h for h, _ in lines} for t, lines in f.tables}
+                rows = {t: {h for h, _ in lines} for t, lines in f.tables}
+                self.tables = {**self.tables, **rows} if f.given else rows
             elif isinstance(f, frames.Orders):
+                for t in f.withdrawn:
+                    self.tables.pop(t, None)
                 for t, h, w in f.lines:
                     row = self.tables.setdefault(t, set())
                     (row.add if w > 0 else row.discard)(h)
