--- a/bench/registry.py
+++ b/bench/registry.py
@@ -169,7 +169,7 @@
 
 async def breaks() -> list[dict[str, Any]]:
     out = []
-    for seconds in (1.0, 10.0):
+    for seconds in (1.0, 10.0, 60.0):
         for compacted in (False, True):
             r, seat = Registry(), Seat()
             await r.start()
