--- a/corallanding/lab/registry.py
+++ b/corallanding/lab/registry.py
@@ -310,8 +310,11 @@
         self.consul_port = 0
 
     async def start(self) -> None:
-        self.server = grpc.aio.server(options=[("grpc.so_reuseport", 0), ("grpc.http2.min_recv_ping_interval_without_data_ms", 5_000),
-                                             ("grpc.http2.min_ping_interval_without_data_ms", 5_000)])  # fmt: skip
+        limits = [
+            ("grpc.so_reuseport", 0), ("grpc.http2.min_recv_ping_interval_without_data_ms", 5_000),
+            ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+        ]  # fmt: skip
+        self.server = grpc.aio.server(options=limits)
         etcd = Etcd(self.store)
         rpc_pb2_grpc.add_KVServicer_to_server(etcd, self.server)
         rpc_pb2_grpc.add_WatchServicer_to_server(etcd, self.server)
