A reload that adds or drops a whole block changes nothing and says so

Need: a block that comes or goes whole made the reload fail in the signal handler, found on rereading. Change: only keys that stand in both files are taken; the rest is named as needing a restart. Measured: the reload's test with the door's block gone passes.

--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -295,7 +295,8 @@
             return
         old_keys, new_keys = flat(self.config.model_dump()), flat(new.model_dump())
         changed = [k for k in sorted(old_keys | new_keys) if old_keys.get(k) != new_keys.get(k)]
-        taken = [k for k in changed if k.startswith(RELOADABLE)]
+        # A block that comes or goes whole needs a restart, whatever its keys.
+        taken = [k for k in changed if k.startswith(RELOADABLE) and k in old_keys and k in new_keys]
         merged = self.config.model_dump()
         for key in taken:
             at, (*path, last) = merged, key.split(".")
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -288,6 +288,9 @@
             r.path.write_text(text.replace("frame_most_bytes = 4096", "frame_most_bytes = 9999")
                               .replace('level = "error"', 'level = "info"'))  # fmt: skip
             r.steward.reload()
+            r.path.write_text(text.replace("frame_most_bytes = 4096", "frame_most_bytes = 9999").split("door {")[0])
+            r.steward.reload()  # the door is gone from the file: that needs a restart, and harms nothing
+            assert r.steward.config.door is not None
             assert r.steward.limits.frame_most == 9999 and r.steward.settings.report_every == 1000.0
         said = capsys.readouterr().err
         assert "reload refused; the old configuration stands" in said
