Reread: the bound on sums follows its setting; one framing of the intake's pipe

Need: rereading found the key reports.keys_most checked and never used, the pipe's framing written twice, a set of all hosts built for each forwarder's sums, a test double written twice, and three fields that nothing read. Change: the setting reaches the sums; reports/pipe serves both ends; the host table itself is asked; the dead fields are gone.

--- a/corallanding/channel/core.py
+++ b/corallanding/channel/core.py
@@ -46,7 +46,6 @@
     """One joined forwarder. A message left over from an earlier joining finds another port, and is gone."""
 
     forwarder: int
-    waiting: int = 0
     sent: deque[float] = field(default_factory=deque)
     parked: deque[Message] = field(default_factory=deque)  # held back by the cap on messages
 
@@ -94,7 +93,6 @@
                 over.append(forwarder)
                 continue
             self.queue.append((port, message))
-            port.waiting += 1
             self.waiting += self.cost(message)
         self.most = max(self.most, self.waiting)
         if over:
@@ -127,7 +125,6 @@
         return out
 
     def leave_port(self, port: Port, message: Message, now: float, out: list[tuple[int, Message]]) -> None:
-        port.waiting -= 1
         if self.limits.messages_most:
             port.sent.append(now)
         self.waiting -= self.cost(message)
--- a/corallanding/lab/clients.py
+++ b/corallanding/lab/clients.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import numpy as np
 
@@ -98,7 +98,6 @@
     trace: Trace
     patience: float = 1.0  # a give-up fault shortens it
     open: int = 0
-    idle: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
         self.witness = self.trace.witness("clients")
--- a/corallanding/lab/trace.py
+++ b/corallanding/lab/trace.py
@@ -30,7 +30,6 @@
     def __init__(self) -> None:
         self.records: list[tuple[Any, ...]] = []
         self.witnesses: dict[str, Witness] = {}
-        self.begun = clock()
 
     def witness(self, name: str) -> Witness:
         return self.witnesses.setdefault(name, Witness(self, name))
--- a/corallanding/reports/feed.py
+++ b/corallanding/reports/feed.py
@@ -10,10 +10,9 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-import msgspec
-
 from .. import interface as api
 from .envelope import Head, Load
+from .pipe import pack, unpack
 from .worth import Policy, Worth
 
 
@@ -73,14 +72,11 @@
 
     def say(self, item: Any) -> None:
         if self.transport and not self.transport.is_closing():
-            body = msgspec.msgpack.encode(item)
-            self.transport.write(len(body).to_bytes(4, "big") + body)
+            self.transport.write(pack(item))
 
     def data_received(self, data: bytes) -> None:
         self.held += data
-        while len(self.held) >= 4 and len(self.held) >= 4 + (size := int.from_bytes(self.held[:4], "big")):
-            kind, value = msgspec.msgpack.decode(bytes(self.held[4 : 4 + size]))
-            del self.held[: 4 + size]
+        for kind, value in unpack(self.held):
             if kind == "reports":
                 wall = self.wall()
                 for mono, host, process, started, seq, uptime, at, echo, utilization, rps, eps in value:
--- a/corallanding/reports/intake.py
+++ b/corallanding/reports/intake.py
@@ -17,11 +17,11 @@
 from pathlib import Path
 from typing import Any, cast
 
-import msgspec
 import uvloop
 
 from ..roster.view import loopback
 from .envelope import MOST, BadReport, genuine, read, sender
+from .pipe import pack, unpack
 from .triage import Triage
 
 TICK = b"oT"
@@ -165,14 +165,11 @@
         self.steward = cast(asyncio.Transport, transport)
 
     def say(self, item: Any) -> None:
-        body = msgspec.msgpack.encode(item)
-        self.steward.write(len(body).to_bytes(4, "big") + body)
+        self.steward.write(pack(item))
 
     def data_received(self, data: bytes) -> None:
         self.held += data
-        while len(self.held) >= 4 and len(self.held) >= 4 + (size := int.from_bytes(self.held[:4], "big")):
-            kind, value = msgspec.msgpack.decode(bytes(self.held[4 : 4 + size]))
-            del self.held[: 4 + size]
+        for kind, value in unpack(self.held):
             if kind == "hosts":
                 self.triage.listed(value)
             elif kind == "tick":
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -149,6 +149,7 @@
             self.settings, self.seed(life.number), life, () if shared else charge, self.view.addresses, self.decider
         )
         self.engine.recall_until = now + c.forwarders.silence_ms * 2 if not shared else now - 1.0
+        self.engine.gather.keys_most = c.reports.keys_most
         saved = self.view.restore(now, wall, life.roster_version, life.roster, life.addresses, life.starts)
         self.engine.addresses = self.view.addresses
         self.engine.begin(now, saved)
--- a/corallanding/steward/engine.py
+++ b/corallanding/steward/engine.py
@@ -201,8 +201,7 @@
 
     def sums(self, now: float, forwarder: int, sums: frames.Sums) -> None:
         if forwarder in self.joined:
-            hosts = set(self.addresses)
-            self.gather.add(now, forwarder, self.joined[forwarder], sums, hosts, self.charge)
+            self.gather.add(now, forwarder, self.joined[forwarder], sums, self.addresses, self.charge)
 
     # ---- a step ----------------------------------------------------------------------------------------
 
--- a/corallanding/steward/gather.py
+++ b/corallanding/steward/gather.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass
 
 from .. import interface as api
@@ -29,7 +30,9 @@
         self.allowance, self.counted = 0.0, 0.0
         self.dropped = 0  # rows beyond the bound, or of hosts, slices or operations that do not exist
 
-    def add(self, now: float, forwarder: int, zone: int, sums: Sums, hosts: set[int], slices: set[int]) -> None:
+    def add(
+        self, now: float, forwarder: int, zone: int, sums: Sums, hosts: Container[int], slices: Container[int]
+    ) -> None:
         """Take one forwarder's sums. Rows on unknown hosts, slices or operations are counted and dropped."""
         operations = len(self.set.operations)
         for host, tries, errored, latency in sums.hosts:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from sockets import Scripted
 
 from corallanding import interface as api
 from corallanding.steward import engine as core
@@ -14,19 +14,6 @@
 SETTINGS = api.Settings(OPS, slices=4, proxies=2, report_every=1000.0, reports_per_s=2.0)
 
 
-class Scripted:
-    """A decider that does what a test put into `todo`, and keeps what it was told."""
-
-    def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.todo: list[api.Action] = []
-        self.told: list[api.Event] = []
-
-    def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
-        self.told += events
-        todo, self.todo = self.todo, []
-        return todo
-
-
 def make(settings: api.Settings = SETTINGS, life: Life | None = None) -> tuple[core.Engine, Scripted]:
     addresses = {h: f"127.0.0.1:{h}" for h in (10, 11, 12)}
     engine = core.Engine(settings, 1, life or Life(2), range(settings.slices), addresses, Scripted)
