Registry client outlives a change of the leader; tokens and certificates read anew

A registry that elects loses requests or carries them out unanswered. With that fault in the stand-in, three stewards kept slices from each other for as long as a lease lived: a lost release or word of leaving was never repeated, and a call whose connection was given up ended as cancelled. All three are mended; watches ask for a leader, and further members are tried in turn. Claims read their table in the same transaction, one round instead of two. Files of the client are read at every connection.

--- a/corallanding/config/models.py
+++ b/corallanding/config/models.py
@@ -134,6 +134,7 @@
 
     kind: Literal["etcd", "consul"] = "etcd"
     address: Address
+    others: Annotated[list[Address], Field(max_length=16)] = []  # further members of the same registry
     prefix: Annotated[str, Field(min_length=1, max_length=200)] = "/corallanding/hosts/"
     timeout_ms: Ms = 2000.0
     wait_ms: Ms = 100.0
@@ -160,6 +161,8 @@
             raise ValueError("certificate_file needs ca_file")
         if self.kind == "consul" and self.ca_file:
             raise ValueError("ca_file: TLS is for kind etcd")
+        if self.kind == "consul" and self.others:
+            raise ValueError("others: further members are for kind etcd")
         if self.kind == "consul" and self.charge:
             raise ValueError("charge: leases and fenced writes are for kind etcd")
         if self.prefix.startswith(self.base):
--- a/corallanding/lab/registry.py
+++ b/corallanding/lab/registry.py
@@ -38,6 +38,8 @@
     lag: int = 0  # revisions that reads answer behind
     fragment: int = 0  # rows an answer to a watch holds at most; 0: no limit
     token: str = ""  # calls must carry it
+    leaderless: bool = False  # this member has no leader: no write, no lease, no read but serializable ones
+    unanswered: int = 0  # so many transactions are applied and then not answered, as when a leader falls
     delay: float = 0.0  # seconds before an answer
 
 
@@ -123,6 +125,10 @@
         for n in over:
             self.revoke(n)
 
+    def elect(self, now: float) -> None:
+        """A new leader: it cannot know how much of each lease has passed, and grants each its whole time anew."""
+        self.leases = {n: (ttl, now + ttl) for n, (ttl, _) in self.leases.items()}
+
     def revoke(self, lease: int) -> None:
         self.leases.pop(lease, None)
         self.write([(k, None, 0) for k, v in self.keys.items() if v.lease == lease])
@@ -135,8 +141,8 @@
 
 
 class Etcd(rpc_pb2_grpc.KVServicer, rpc_pb2_grpc.WatchServicer, rpc_pb2_grpc.LeaseServicer):  # type: ignore[misc]
-    def __init__(self, store: Mvcc) -> None:
-        self.store = store
+    def __init__(self, store: Mvcc, faults: Faults) -> None:
+        self.store, self.faults = store, faults
 
     def header(self, revision: int | None = None) -> Any:
         s = self.store
@@ -149,6 +155,8 @@
             await asyncio.sleep(s.faults.delay)
         if s.faults.down:
             await context.abort(grpc.StatusCode.UNAVAILABLE, "the registry is down")
+        if self.faults.leaderless and call != "Watch":
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "etcdserver: no leader")
         if s.faults.token:
             meta = dict(context.invocation_metadata() or ())
             if meta.get("token") != s.faults.token:
@@ -220,6 +228,17 @@
                 keys = self.rows(op.request_range, self.store.keys)
                 found = rpc_pb2.RangeResponse(header=self.header(), kvs=[kv(k, self.store.keys[k]) for k in keys])
                 answers.append(rpc_pb2.ResponseOp(response_range=found))
+            elif op.HasField("request_put"):
+                answers.append(rpc_pb2.ResponseOp(response_put=rpc_pb2.PutResponse(header=self.header())))
+            else:
+                gone = rpc_pb2.DeleteRangeResponse(header=self.header())
+                answers.append(rpc_pb2.ResponseOp(response_delete_range=gone))
+        if self.faults.unanswered:
+            # Applied by the old leader, which fell before it could say so.
+            self.faults.unanswered -= 1
+            await context.abort(
+                grpc.StatusCode.UNAVAILABLE, "etcdserver: request timed out, possibly due to previous leader failure"
+            )
         return rpc_pb2.TxnResponse(header=self.header(), succeeded=ok, responses=answers)
 
     async def Compact(self, request: Any, context: Any) -> Any:
@@ -247,7 +266,13 @@
             return
         asks = asyncio.create_task(self.progress_asked(request_iterator, context))
         try:
+            wants_leader = dict(context.invocation_metadata() or ()).get("hasleader") == "true"
             while not asks.done():
+                if self.faults.leaderless:
+                    if wants_leader:
+                        await context.abort(grpc.StatusCode.UNAVAILABLE, "etcdserver: no leader")
+                    await asyncio.sleep(0.05)  # the old way: open, and silent for as long as it lasts
+                    continue
                 rows = [x for x in s.log if x[0] >= at and create.key <= x[1] < create.range_end]
                 if rows:
                     at = s.revision + 1
@@ -292,6 +317,8 @@
         await self.enter("LeaseKeepAlive", context)
         s = self.store
         async for request in request_iterator:
+            if self.faults.leaderless:
+                await context.abort(grpc.StatusCode.UNAVAILABLE, "etcdserver: no leader")
             ttl = 0.0
             if request.ID in s.leases:
                 ttl = s.leases[request.ID][0]
@@ -300,10 +327,15 @@
 
 
 class Registry:
-    """The stand-in as a running server. `store` may be changed at will; call `store.poke` after."""
+    """The stand-in as a running server. `store` may be changed at will; call `store.poke` after.
+
+    of: another member, whose store this one shares; `faults` are a member's own.
+    """
 
-    def __init__(self, port: int = 0, credentials: Any = None) -> None:
-        self.store, self.port, self.credentials = Mvcc(), port, credentials
+    def __init__(self, port: int = 0, credentials: Any = None, of: Registry | None = None) -> None:
+        self.store: Mvcc = of.store if of else Mvcc()
+        self.port, self.credentials = port, credentials
+        self.faults = Faults() if of else self.store.faults
         self.server: Any = None
         self.consul: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -315,7 +347,7 @@
             ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
         ]  # fmt: skip
         self.server = grpc.aio.server(options=limits)
-        etcd = Etcd(self.store)
+        etcd = Etcd(self.store, self.faults)
         rpc_pb2_grpc.add_KVServicer_to_server(etcd, self.server)
         rpc_pb2_grpc.add_WatchServicer_to_server(etcd, self.server)
         rpc_pb2_grpc.add_LeaseServicer_to_server(etcd, self.server)
@@ -333,7 +365,8 @@
         while True:
             await asyncio.sleep(0.1)
             before = self.store.revision
-            self.store.end_leases(asyncio.get_running_loop().time())
+            if not self.store.faults.leaderless:  # without a leader no lease ends
+                self.store.end_leases(asyncio.get_running_loop().time())
             if self.store.revision != before:
                 self.store.poke()
 
--- a/corallanding/registry/charge.py
+++ b/corallanding/registry/charge.py
@@ -96,12 +96,14 @@
     releasing: set[int] = field(default_factory=set)
     leaving: bool = False
     reachable: bool = False
+    seen: bool | None = None  # our own member key as the watch shows it: leaving or not; None: it is not there
+    announced: float = 0.0  # when it was last put
 
     # ---- the lease -------------------------------------------------------------------------------------
 
     def granted(self, now: float, lease: int) -> list[Action]:
         """A lease is ours; it counts from when it was asked for, not from when the answer came."""
-        self.lease, self.until, self.asked = lease, self.asked + self.terms.ttl, -1.0
+        self.lease, self.until, self.asked, self.announced = lease, self.asked + self.terms.ttl, -1.0, now
         return [Announce(lease, self.leaving)]
 
     def kept(self, now: float, ttl: float) -> list[Action]:
@@ -132,6 +134,8 @@
     # ---- what the watch says ---------------------------------------------------------------------------
 
     def member(self, now: float, steward: int, alive: bool, leaving: bool = False) -> None:
+        if steward == self.me:
+            self.seen = leaving if alive else None
         before = dict(self.members)
         if alive:
             self.members[steward] = leaving
@@ -189,6 +193,10 @@
             self.asked = -1.0  # that answer is late: ask again, counting from now
         if not self.may_speak(now):
             return out
+        if self.seen is not self.leaving and now - self.announced > self.terms.ttl * self.terms.margin:
+            # The registry lost it (its leader fell): unannounced, a steward gets nothing, or never gets rid of it.
+            self.announced = now
+            out.append(Announce(self.lease, self.leaving))
         out += self.balance(now)
         return out
 
@@ -204,23 +212,25 @@
                     self.releasing.add(s)
                     fence = self.held.pop(s)
                     out += [Given(s, False), Release(s, fence)]
+            elif (holder := self.holders.get(s)) and holder[0] == self.me:
+                if s not in self.releasing and s not in self.claiming:
+                    # A claim whose answer was lost or came too late is not ours to use; a release that a falling
+                    # leader lost would keep the slice from everybody for as long as the lease is kept.
+                    self.releasing.add(s)
+                    out.append(Release(s, holder[1]))
             elif should == self.me and s not in self.claiming and len(self.claiming) < self.terms.claims_most:
-                holder = self.holders.get(s)
                 if holder is None:
                     self.claiming.add(s)
                     out.append(Claim(s, self.lease))
-                elif holder[0] == self.me and s not in self.releasing:
-                    # A claim whose answer was lost or came too late: not ours to use, so it goes back.
-                    self.releasing.add(s)
-                    out.append(Release(s, holder[1]))
         return out
 
     def leave(self, now: float) -> list[Action]:
         """Planned end: announce it; slices go over as others are there to take them."""
-        self.leaving = True
+        self.leaving, self.announced = True, now
         self.members[self.me] = True
         return [Announce(self.lease, True)] if self.lease else []
 
     @property
     def empty(self) -> bool:
-        return not self.held and not self.releasing
+        ours = any(holder == self.me for holder, _ in self.holders.values())
+        return not self.held and not self.releasing and not ours
--- a/corallanding/registry/etcd.py
+++ b/corallanding/registry/etcd.py
@@ -56,8 +56,10 @@
             self.channel = grpc.aio.secure_channel(address, credentials, options)
         else:
             self.channel = grpc.aio.insecure_channel(address, options)
-        self.timeout = timeout / 1000.0
+        self.timeout, self.closed = timeout / 1000.0, False
         self.meta = (("token", token),) if token else ()
+        # A member that has lost its leader would keep a watch open and silent for ever: asked so, it ends it.
+        self.watch_meta = (*self.meta, ("hasleader", "true"))
         self.kv = rpc_pb2_grpc.KVStub(self.channel)
         self.watches = rpc_pb2_grpc.WatchStub(self.channel)
         self.leases = rpc_pb2_grpc.LeaseStub(self.channel)
@@ -69,6 +71,13 @@
             if fault.code() is grpc.StatusCode.OUT_OF_RANGE:
                 raise Compacted(fault.details() or "") from None
             raise Lost(f"{fault.code().name}: {fault.details()}"[:200]) from None
+        except asyncio.CancelledError:
+            # A watch that broke closes the channel under calls of others: gRPC tells them as if they were cancelled,
+            # and a writer would end as a task that somebody stopped.
+            task = asyncio.current_task()
+            if self.closed and task and not task.cancelling():
+                raise Lost("the connection was given up in the middle") from None
+            raise
 
     async def page(self, prefix: bytes, after: bytes, revision: int, most: int) -> tuple[Header, list[Row], bool]:
         """Up to `most` rows of the prefix after a key, at a revision (0: now). Raises `Lost`, `Compacted`."""
@@ -88,7 +97,7 @@
             yield rpc_pb2.WatchRequest(create_request=create)
             await stop.wait()  # an open request side keeps the watch
 
-        stream = self.watches.Watch(asks(), metadata=self.meta)
+        stream = self.watches.Watch(asks(), metadata=self.watch_meta)
         try:
             async for r in stream:
                 header = header_of(r.header)
@@ -113,4 +122,5 @@
             stream.cancel()
 
     async def close(self) -> None:
+        self.closed = True
         await self.channel.close()
--- a/corallanding/registry/keeper.py
+++ b/corallanding/registry/keeper.py
@@ -15,7 +15,7 @@
 from aetcd.rpc import rpc_pb2
 
 from .charge import Action, Announce, Charge, Claim, Given, GrantLease, KeepAlive, Release, Terms
-from .connection import Compacted, Lost
+from .connection import Lost
 from .etcd import Etcd
 from .follow import Follower
 from .sync import Delta, Limits, Sync
@@ -56,6 +56,7 @@
             dial, self.watched, Sync(limits, chance), clock, self.took, holder.said,
             lambda: self.charge.connection(True), lambda: self.charge.connection(False),
         )  # fmt: skip
+        self.found: dict[int, bytes] = {}  # tables that came with claims, until the slice is given
         self.tasks: set[asyncio.Task[Any]] = set()
 
     @property
@@ -96,25 +97,18 @@
         for a in actions:
             if isinstance(a, Given):
                 if a.on:
-                    self.spawn(self.give(a.slice, a.fence))
+                    self.give(a.slice, a.fence)
                 else:
                     self.holder.taken(a.slice)
             else:
                 self.spawn(self.ask(a))
 
-    async def give(self, slice: int, fence: int) -> None:
-        """A slice is ours: its table is read before the holder hears of it."""
-        conn = self.conn
+    def give(self, slice: int, fence: int) -> None:
+        """A slice is ours: its table came with the answer to the claim."""
+        value = self.found.pop(slice, b"")
         try:
-            assert conn is not None
-            found = await conn.call(conn.kv.Range, rpc_pb2.RangeRequest(key=self.key("tables", slice)))
-            rows = msgspec.json.decode(found.kvs[0].value, type=dict[int, float]) if found.kvs else {}
-        except (Lost, Compacted, AssertionError) as fault:
-            self.holder.said(f"table of slice {slice} not read: {fault}")
-            if self.charge.held.get(slice) == fence:  # given back: another, or a later try, may read it
-                del self.charge.held[slice]
-            return
-        except msgspec.DecodeError as fault:
+            rows = msgspec.json.decode(value, type=dict[int, float]) if value else {}
+        except (msgspec.DecodeError, UnicodeDecodeError) as fault:
             self.holder.said(f"table of slice {slice} cannot be read, taken as empty: {fault}")
             rows = {}
         if self.charge.held.get(slice) == fence:
@@ -175,13 +169,22 @@
             stream.cancel()
 
     async def claim(self, conn: Etcd, slice: int, lease: int) -> int:
-        """The create revision of the charge key that is ours now; 0 if another has it."""
+        """The create revision of the charge key that is ours now; 0 if another has it.
+
+        The table is read in the same transaction: nobody writes it between the claim and the reading.
+        """
         key = self.key("who/charge", slice)
         put = rpc_pb2.PutRequest(key=key, value=str(self.charge.me).encode(), lease=lease)
+        table = rpc_pb2.RangeRequest(key=self.key("tables", slice))
         answer = await conn.call(conn.kv.Txn, rpc_pb2.TxnRequest(
-            compare=[self.same(key, 0)], success=[rpc_pb2.RequestOp(request_put=put)],
+            compare=[self.same(key, 0)],
+            success=[rpc_pb2.RequestOp(request_put=put), rpc_pb2.RequestOp(request_range=table)],
         ))  # fmt: skip
-        return int(answer.header.revision) if answer.succeeded else 0
+        if not answer.succeeded:
+            return 0
+        kvs = answer.responses[1].response_range.kvs
+        self.found[slice] = kvs[0].value if kvs else b""
+        return int(answer.header.revision)
 
     def same(self, key: bytes, create: int) -> Any:
         return rpc_pb2.Compare(
--- a/corallanding/registry/source.py
+++ b/corallanding/registry/source.py
@@ -8,6 +8,8 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from itertools import count
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -87,14 +89,52 @@
     return Path(path).read_bytes() if path else None
 
 
-def etcd(c: RegistryBlock) -> Callable[[], Etcd]:
-    """New connections as configured. Raises OSError if one of the files cannot be read."""
+@dataclass(frozen=True)
+class Papers:
+    """What the registry asks of us, as the files hold it. Raises OSError if one of them cannot be read."""
+
+    token: str
+    ca: bytes | None
+    certificate: bytes | None
+    key: bytes | None
+
+    @classmethod
+    def read(cls, c: RegistryBlock) -> Papers:
+        token = (text(c.token_file) or b"").decode("ascii", "replace").strip()
+        return cls(token, text(c.ca_file), text(c.certificate_file), text(c.key_file))
+
+
+class Files:
+    """The papers, read anew for every connection, so that new tokens and certificates need no restart.
+
+    Guards against files that are away or half written while they are replaced: the last good ones stand, and that is
+    said. Could harm where a token was withdrawn by deleting its file: the registry refuses that one by itself.
+    """
+
+    def __init__(self, c: RegistryBlock, said: Callable[[str], None]) -> None:
+        self.block, self.said, self.good = c, said, Papers.read(c)
+
+    def __call__(self) -> Papers:
+        try:
+            self.good = Papers.read(self.block)
+        except OSError as fault:
+            self.said(f"registry: {fault.filename}: {fault.strerror}; the token and certificates read before stand")
+        return self.good
+
+
+def etcd(c: RegistryBlock, said: Callable[[str], None]) -> Callable[[], Etcd]:
+    """New connections as configured, to each member in turn. Raises OSError if one of the files cannot be read."""
     from .etcd import Etcd, Tls
 
-    token = (text(c.token_file) or b"").decode().strip()
-    ca = text(c.ca_file)
-    tls = Tls(ca, text(c.certificate_file), text(c.key_file), c.server_name) if ca else None
-    return lambda: Etcd(c.address, c.timeout_ms, tls, token)
+    files, turn = Files(c, said), count()
+    members = [c.address, *c.others]
+
+    def dial() -> Etcd:
+        p = files()
+        tls = Tls(p.ca, p.certificate, p.key, c.server_name) if p.ca else None
+        return Etcd(members[next(turn) % len(members)], c.timeout_ms, tls, p.token)
+
+    return dial
 
 
 def make(
@@ -108,12 +148,13 @@
         from .consul import Consul
 
         rate = max(rate, 6_000.0)  # every change is a read there: bounded by the registry's own blocking
-        token = (text(c.token_file) or b"").decode().strip()
-        consul = Consul(c.address, c.timeout_ms, c.block_ms, token)  # it keeps index and epoch over breaks
+        files = Files(c, listener.roster_failed)
+        consul = Consul(c.address, c.timeout_ms, c.block_ms, files.good.token)  # it keeps index and epoch over breaks
 
         def dial() -> Connection:
+            consul.token = files().token
             return consul
     else:
-        dial = etcd(c)
+        dial = etcd(c, listener.roster_failed)
     limits = Limits(c.wait_ms, c.wait_most_ms, rate, c.page)
     return RegistrySource(dial, c.prefix, listener, clock, chance, limits)
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -205,7 +205,7 @@
 
         me, limits = self.config.steward.number, SyncLimits(g.wait_ms, g.wait_most_ms, g.reads_per_min, g.page)
         chance = random.Random(f"{self.config.steward.seed}:{me}:{self.engine.life.number}").random
-        return Keeper(etcd(g), g.base, me, slices, self, self.clock, chance, Terms(g.lease_ms), limits)
+        return Keeper(etcd(g, self.said), g.base, me, slices, self, self.clock, chance, Terms(g.lease_ms), limits)
 
     def given(self, slice: int, lines: dict[int, float]) -> None:
         """The registry gave a slice into our charge, with its table as kept there."""
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -220,6 +220,66 @@
     play(scene)
 
 
+def test_a_new_token_is_taken_from_its_file_without_a_restart(tmp_path: Path) -> None:
+    async def scene(r: Registry, seat: Seat) -> None:
+        path = tmp_path / "token"
+        path.write_text("first\n")
+        r.store.faults.token = "first"
+        await r.put(f"{PREFIX}1", host(1))
+        s = source(r, seat, token_file=str(path))
+        await until(lambda: same(r, seat))
+        path.unlink()  # away while it is replaced: the one read before stands
+        await r.stop()
+        await r.start()
+        await until(lambda: any("read before stand" in t for t in seat.failures))
+        await r.put(f"{PREFIX}1", host(1, weight=2.0))
+        await until(lambda: same(r, seat))
+        r.store.faults.token = "second"
+        await r.stop()
+        await r.start()
+        await until(lambda: any("UNAUTHENTICATED" in t for t in seat.failures))
+        path.write_text("second\n")
+        await r.put(f"{PREFIX}1", host(1, weight=3.0))
+        await until(lambda: same(r, seat))
+        s.stop()
+
+    play(scene)
+
+
+def test_a_member_without_a_leader_is_left_for_another() -> None:
+    """Its watch would stay open and silent for as long as it is cut off: the first half shows that it does."""
+
+    async def scene(r: Registry, seat: Seat) -> None:
+        second = Registry(of=r)
+        await second.start()
+        await r.put(f"{PREFIX}1", host(1))
+        heard = Seat()
+        deaf = make(RegistryBlock(address=f"127.0.0.1:{r.port}"), heard, lambda: time.monotonic() * 1000.0,
+                    random.Random(1).random)  # fmt: skip
+        dial = deaf.follower.dial
+
+        def undemanding() -> Any:
+            conn = dial()
+            conn.watch_meta = ()
+            return conn
+
+        deaf.follower.dial = undemanding
+        deaf.start()
+        s = source(r, seat, others=[f"127.0.0.1:{second.port}"])
+        await until(lambda: same(r, seat) and same(r, heard))
+        r.faults.leaderless = True
+        await second.put(f"{PREFIX}1", host(1, state="draining"))
+        await until(lambda: same(r, seat))
+        await asyncio.sleep(0.3)
+        assert heard.history[-1][2] == {1: "up1.0"} and not heard.failures, "the fault is no fault"
+        assert any("no leader" in t for t in seat.failures)
+        s.stop()
+        deaf.stop()
+        await second.stop()
+
+    play(scene)
+
+
 def test_a_value_that_does_not_parse_holds_that_host_alone() -> None:
     async def scene(r: Registry, seat: Seat) -> None:
         for n in (1, 2):
--- a/tests/test_registry_charge.py
+++ b/tests/test_registry_charge.py
@@ -271,3 +271,18 @@
     fence = s.held.pop(0)  # as if the answer had been lost
     out = s.tick(float(w.now))
     assert Release(0, fence) in out
+
+
+def test_a_release_that_the_registry_lost_is_sent_again() -> None:
+    """Found by a change of the leader: keys stood under a living lease, and nobody could take the slices. The word
+    of leaving is lost as well."""
+    w = World(slices=4)
+    run(w, 20)
+    mine = held(w)[0]
+    out = w.stewards[0].leave(float(w.now)) + w.stewards[0].tick(float(w.now))
+    assert [a.slice for a in out if isinstance(a, Release)] == mine
+    for s in mine:
+        w.stewards[0].released(s)  # the way broke; none of them reached the registry
+    assert mine and not w.stewards[0].empty
+    run(w, 20)
+    assert held(w)[1] == [0, 1, 2, 3]
--- a/tests/test_registry_keeper.py
+++ b/tests/test_registry_keeper.py
@@ -13,6 +13,7 @@
 
 from corallanding.lab.registry import Registry
 from corallanding.registry.charge import Terms
+from corallanding.registry.connection import Lost
 from corallanding.registry.etcd import Etcd
 from corallanding.registry.keeper import Fenced, Keeper
 from corallanding.registry.sync import Limits
@@ -142,6 +143,37 @@
     play(scene)
 
 
+def test_a_change_of_the_leader_costs_no_slice_and_doubles_none() -> None:
+    """Claims applied by a leader that fell before it answered, a time without any, leases granted anew."""
+
+    async def scene(r: Registry, s: Stewards) -> None:
+        doubled: list[int] = []
+
+        def look() -> bool:
+            held = [x for k, seat in zip(s.keepers, s.seats, strict=True) if k.charge.may_speak(clock())
+                    for x in seat.held]  # fmt: skip
+            doubled.extend(x for x in held if held.count(x) > 1)
+            return True
+
+        await s.keepers[0].write({x: {7: 1.0} for x in s.seats[0].held})
+        r.faults.unanswered = 3  # of the claims that come now, three are applied and not answered
+        s.keepers[1].leave()
+        await until(lambda: look() and r.faults.unanswered == 0)
+        r.faults.leaderless = True
+        with pytest.raises((Fenced, Lost)):
+            await s.keepers[0].write({x: {8: 1.0} for x in s.seats[0].held})
+        for _ in range(40):
+            look()
+            await asyncio.sleep(0.01)
+        r.faults.leaderless = False
+        r.store.elect(asyncio.get_running_loop().time())
+        await until(lambda: look() and s.shared({0, 2}), 15)
+        assert not doubled
+        await s.keepers[2].write({x: {9: 1.0} for x in s.seats[2].held})
+
+    play(scene)
+
+
 def test_large_writes_go_in_batches_within_the_registry_s_limits() -> None:
     async def scene(r: Registry, s: Stewards) -> None:
         k = s.keepers[0]
