Drains overtake what waits; joins, accepts and late turns are bounded; slow sockets pay alone

One order behind a turn's lines waited for all of them, a socket that read slowly filled its own buffer up to 4 MiB, a forwarder that never acked held up moves for all, and connection or read loops took the time of orders. Joins are admitted by pace and habit, connections taken at a pace that outlives missing descriptors, strangers and bytes bounded, acks due within a time, ordinary turns put off while the steward itself is late.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -102,6 +102,8 @@
 
 
 class Assigner:
+    can_wait = 0  # the timer of ordinary turns: a steward that is late may let it fall due later
+
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.set, self.seed, self.draws = settings, seed, 0
         self.hosts: dict[int, Host] = {}
--- a/corallanding/config/models.py
+++ b/corallanding/config/models.py
@@ -35,6 +35,9 @@
     seed: int = 0
     zone: str | None = None
     turn_ms: Annotated[float, Field(gt=0, le=1000)] = 2.0
+    late_ms: Ms = 100.0  # lateness of its own from which a steward puts off looking for better owners
+    busy_share: Annotated[float, Field(gt=0, le=1)] = 0.5  # or part of the time that its steps fill
+    put_off_most_ms: Ms = 5000.0
     peers: dict[str, Address] = {}
     peer_listen: Address | None = None
 
@@ -114,7 +117,13 @@
     frame_most_bytes: Annotated[int, Field(ge=256, le=1 << 26)] = 1 << 20
     frames_per_s: Annotated[float, Field(gt=0, le=1e6)] = 200.0
     buffer_most_bytes: Annotated[int, Field(ge=1024, le=1 << 30)] = 4 << 20
+    bytes_per_s: Annotated[float, Field(ge=1024, le=1e9)] = 4e6
+    ack_within_ms: Ms = 15_000.0
     reads_per_s: Annotated[float, Field(gt=0, le=1e6)] = 200.0
+    again_ms: Ms = 500.0  # between two joins or reads of one forwarder; doubles while it keeps coming back
+    again_most_ms: Ms = 15_000.0
+    accepts_per_s: Annotated[float, Field(gt=0, le=1e6)] = 1000.0
+    strangers_most: Annotated[int, Field(ge=1, le=65535)] = 256  # links that have not said hello
 
 
 class RosterBlock(Block):
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -11,7 +11,7 @@
 import signal
 import sys
 import time
-from collections import deque
+from collections import Counter
 from collections.abc import Callable, Sequence
 from importlib.util import find_spec
 from pathlib import Path
@@ -39,12 +39,16 @@
 from ..wire import frames
 from ..wire.link import Limits
 from . import engine as core
+from .joins import Joins
 from .links import LinkProtocol
+from .listen import Listener, descriptors
+from .overload import Limits as OverloadLimits
 from .record import Recorder
 
 if TYPE_CHECKING:
     from ..registry.keeper import Keeper
 
+SPARE_DESCRIPTORS = 200  # for the store, probes, the door, the registry, and links that are being closed
 AHEAD = 2_000  # marks of the module worked out at a time between steps: a millisecond or two
 ORIGIN = 1e9  # ms: where the clock begins, so that a start "long ago" (0) lies further back than any setting
 
@@ -64,7 +68,7 @@
     f = c.forwarders
     return Limits(
         f.frame_most_bytes, f.hello_within_ms, f.silence_ms, f.frames_per_s,
-        buffer_most=f.buffer_most_bytes,
+        buffer_most=f.buffer_most_bytes, bytes_per_s=f.bytes_per_s, ack_within=f.ack_within_ms,
     )  # fmt: skip
 
 
@@ -72,7 +76,8 @@
 RELOADABLE = (
     "log.", "door.connections_most", "door.header_most_bytes", "door.request_within_ms", "probe.timeout_ms",
     "probe.most_in_flight", "probe.most_waiting", "forwarders.frame_most_bytes", "forwarders.hello_within_ms",
-    "forwarders.frames_per_s", "forwarders.buffer_most_bytes", "forwarders.reads_per_s", "store.retry",
+    "forwarders.frames_per_s", "forwarders.buffer_most_bytes", "forwarders.bytes_per_s", "forwarders.ack_within_ms",
+    "forwarders.reads_per_s", "forwarders.accepts_per_s", "forwarders.strangers_most", "store.retry",
 )  # fmt: skip
 
 
@@ -102,8 +107,10 @@
         self.record = record
         self.links: set[LinkProtocol] = set()
         self.forwarders: dict[int, LinkProtocol] = {}
-        self.joining: deque[LinkProtocol] = deque()
-        self.reads, self.reads_at = config.forwarders.reads_per_s / 4, self.clock()
+        self.strangers: dict[LinkProtocol, None] = {}  # links that have not said hello, the oldest first
+        f = config.forwarders
+        self.joins = Joins(f.reads_per_s, f.again_ms, f.again_most_ms, self.clock())
+        self.admitting: asyncio.TimerHandle | None = None
         c = config.channel
         self.channel = Channel(
             ChannelLimits(
@@ -123,7 +130,7 @@
         self.store_fault = ""
         self.store_again = 0.0
         self.roster_dirty = False
-        self.servers: list[asyncio.Server] = []
+        self.servers: list[asyncio.Server | Listener] = []
         self.peer_transport: asyncio.DatagramTransport | None = None
         self.stopped: asyncio.Future[int] | None = None
         self.ready = False
@@ -131,7 +138,8 @@
         self.factors: dict[int, float] = {}
         self.keeper: Keeper | None = None
         self.writing: asyncio.Task[None] | None = None
-        self.working_ahead = False
+        self.working_ahead = self.strained = False
+        self.watched_at = self.spent = 0.0
         self.listed = False  # a list newer than the saved one has come in this life
 
     # ---- life ------------------------------------------------------------------------------------------
@@ -148,8 +156,9 @@
             # The seed of a life is its own: a restart must not draw the same chances again.
             self.recorder = Recorder(self.record, self.settings, self.seed(life.number), c.record.most_mb * 1e6)
         self.engine = core.Engine(
-            self.settings, self.seed(life.number), life, () if shared else charge, self.view.addresses, self.decider
-        )
+            self.settings, self.seed(life.number), life, () if shared else charge, self.view.addresses, self.decider,
+            OverloadLimits(c.steward.late_ms, c.steward.busy_share, c.steward.put_off_most_ms),
+        )  # fmt: skip
         self.engine.recall_until = now + c.forwarders.silence_ms * 2 if not shared else now - 1.0
         self.engine.gather.keys_most = c.reports.keys_most
         saved = self.view.restore(now, wall, life.roster_version, life.roster, life.addresses, life.starts)
@@ -158,7 +167,14 @@
         self.metrics.store_well.set(1)
         self.roster = self.make_source()
         host, port = loopback(c.steward.listen)
-        self.servers.append(await loop.create_server(lambda: LinkProtocol(self), host, port, backlog=1024))
+        needed = c.forwarders.most + c.forwarders.strangers_most + SPARE_DESCRIPTORS
+        if (have := descriptors(needed)) < needed:
+            log.warning("few descriptors: not all forwarders can be joined", have=have, needed=needed)
+        self.listener = Listener(
+            host, port, 1024, c.forwarders.accepts_per_s, lambda: LinkProtocol(self),
+            lambda why: self.gate.warn("link not taken", why=why),
+        )  # fmt: skip
+        self.servers.append(self.listener)
         if c.door:
             routes = {"/healthz": self.healthz, "/metrics": self.metrics_page, "/tables": self.tables_page}
             self.door = Door(routes, c.door.connections_most, c.door.header_most_bytes, c.door.request_within_ms)
@@ -174,6 +190,7 @@
         if c.registry and shared:
             self.keeper = self.make_keeper(c.registry, charge)
             self.keeper.start()
+        self.watched_at = self.clock() - c.forwarders.beat_ms / 4.0
         self.watch_links()
         self.wake()
         self.ready = True
@@ -277,7 +294,7 @@
             self.writing.cancel()
         if self.peer_transport:
             self.peer_transport.close()
-        for handle in (self.timer, self.pump_timer):
+        for handle in (self.timer, self.pump_timer, self.admitting):
             if handle:
                 handle.cancel()
         self.timer_at = float("-inf")
@@ -309,6 +326,8 @@
         self.config = StewardConfig.model_validate(merged)
         configure(self.config.log.format, self.config.log.level)
         self.limits = link_limits(self.config)
+        f = self.config.forwarders
+        self.joins.rate, self.listener.rate = f.reads_per_s, f.accepts_per_s
         for link in self.links:
             link.link.limits = self.limits
             link.link.reader.most = self.limits.frame_most
@@ -327,7 +346,7 @@
         due = self.engine.next_at(self.clock())
         if due is None or self.stopped is None or self.stopped.done() or self.writing:
             return
-        at = max(due, self.stepped_at + self.config.steward.turn_ms)
+        at = max(due, self.clock(), self.stepped_at + self.config.steward.turn_ms)
         if at >= self.timer_at:
             return
         if self.timer:
@@ -337,6 +356,7 @@
 
     def step(self) -> None:
         begun = self.clock()
+        self.spent = 0.0
         self.metrics.late.observe(max(0.0, begun - self.timer_at) / 1000.0)
         self.timer, self.timer_at, self.stepped_at = None, float("inf"), begun
         self.engine.store_waits = begun < self.store_again
@@ -355,17 +375,23 @@
                 log.error("recording is full; it ends here", most_mb=self.config.record.most_mb)
                 self.recorder.close()
                 self.recorder = None
-        for e in events:
-            self.metrics.events.labels(type(e).__name__).inc()
-            if self.feed and isinstance(e, api.HostSums):
-                self.feed.worth.seen(e.host, e.tries, e.errored, e.latency)
-        for a in actions:
-            self.metrics.actions.labels(type(a).__name__).inc()
+        if self.feed:
+            for e in events:
+                if isinstance(e, api.HostSums):
+                    self.feed.worth.seen(e.host, e.tries, e.errored, e.latency)
+        if not self.engine.overload.strained:  # detail that can wait
+            for kind, count in Counter(type(e).__name__ for e in events).items():
+                self.metrics.events.labels(kind).inc(count)
+            for kind, count in Counter(type(a).__name__ for a in actions).items():
+                self.metrics.actions.labels(kind).inc(count)
         if self.keeper and begun >= self.store_again and (writes.lines or writes.resets):
             # The next step waits for this one's write: what is sent is kept first, there too.
+            self.spent = self.clock() - begun
             self.writing = asyncio.get_running_loop().create_task(self.keep_shared(begun))
             return
-        self.finish(begun, not self.store_faults if self.keeper else self.keep(begun, writes))
+        stored = not self.store_faults if self.keeper else self.keep(begun, writes)
+        self.spent = self.clock() - begun
+        self.finish(begun, stored)
 
     async def keep_shared(self, begun: float) -> None:
         """Write the step's tables to the registry, fenced. What is refused is not sent; what cannot be reached in
@@ -405,9 +431,12 @@
 
     def finish(self, begun: float, stored: bool) -> None:
         """The second half of a step."""
+        resumed = self.clock()
         for output in self.engine.publish(stored):
             self.carry_out(begun, output)
-        self.metrics.step.observe((self.clock() - begun) / 1000.0)
+        ended = self.clock()
+        self.engine.overload.stepped(ended, self.spent + ended - resumed)
+        self.metrics.step.observe((ended - begun) / 1000.0)
         self.metrics.unsaved.set(len(self.engine.unsaved))
         self.metrics.dropped_sums.set(self.engine.gather.dropped)
         self.metrics.discarded.set(self.engine.discarded)
@@ -464,7 +493,9 @@
         match output:
             case core.Send():
                 try:
-                    self.channel.submit(now, output.frame, output.lines, output.mark, output.to)
+                    self.channel.submit(
+                        now, output.frame, output.lines, output.mark, output.to, output.orders, output.urgent
+                    )
                 except Overrun as over:
                     for forwarder in over.forwarders:
                         if link := self.forwarders.get(forwarder):
@@ -500,7 +531,8 @@
         m.most_waiting.set(self.channel.most)
         m.lines.inc(self.channel.lines_sent)
         m.messages.inc(self.channel.messages_sent)
-        self.channel.lines_sent = self.channel.messages_sent = 0
+        m.overtaken.inc(self.channel.overtaken)
+        self.channel.lines_sent = self.channel.messages_sent = self.channel.overtaken = 0
         if self.pump_timer:
             self.pump_timer.cancel()
             self.pump_timer = None
@@ -525,7 +557,7 @@
                 self.engine.sums(now, link.forwarder, frame)
             case frames.Read():
                 link.joined = False
-                self.joining.append(link)
+                self.joins.ask(now, link.forwarder)
                 self.admit()
             case frames.Held():
                 if changed := self.engine.held(now, frame):
@@ -535,6 +567,13 @@
                 link.end("bye")
         self.wake()
 
+    def socket(self, link: LinkProtocol, takes: bool) -> None:
+        """A forwarder's socket takes no more for now, or takes more again."""
+        if link.joined and self.forwarders.get(link.forwarder) is link:
+            self.channel.block(link.forwarder, not takes)
+            if takes:
+                self.pump()
+
     def hello(self, link: LinkProtocol, hello: frames.Hello) -> None:
         if hello.zone >= len(self.config.zones):
             link.end("malformed", f"zone {hello.zone}: there are {len(self.config.zones)}")
@@ -551,22 +590,22 @@
         if former:
             former.end("superseded", "the same forwarder joined again")
         self.forwarders[hello.forwarder] = link
-        self.joining.append(link)
+        self.strangers.pop(link, None)
+        self.joins.ask(self.clock(), hello.forwarder)
         self.admit()
 
     def admit(self) -> None:
         """Joins are let in at the pace of the settings: each reads all tables."""
-        now, rate = self.clock(), self.config.forwarders.reads_per_s
-        self.reads = min(max(1.0, rate / 4), self.reads + (now - self.reads_at) * rate / 1000.0)
-        self.reads_at = now
-        while self.joining and self.reads >= 1.0:
-            link = self.joining.popleft()
-            if link.over or link.link.hello is None or self.forwarders.get(link.forwarder) is not link:
-                continue
-            self.reads -= 1.0
-            self.welcome(link, link.link.hello)
-        if self.joining:
-            asyncio.get_running_loop().call_later(max(0.001, (1.0 - self.reads) / rate), self.admit)
+        now = self.clock()
+        for forwarder in self.joins.due(now):
+            if (link := self.forwarders.get(forwarder)) and link.link.hello and not link.joined:
+                self.welcome(link, link.link.hello)
+        if self.admitting:
+            self.admitting.cancel()
+            self.admitting = None
+        if (at := self.joins.next_at(now)) is not None and self.stopped and not self.stopped.done():
+            wait = max(0.001, (at - now) / 1000.0)
+            self.admitting = asyncio.get_running_loop().call_later(wait, self.admit)
 
     def welcome(self, link: LinkProtocol, hello: frames.Hello) -> None:
         c = self.config
@@ -591,6 +630,7 @@
         link.joined = True
         link.link.marks.clear()
         self.channel.join(link.forwarder)
+        self.channel.block(link.forwarder, link.paused)
         link.send(self.engine.join(now, hello))
         self.metrics.reads.inc()
         self.metrics.links.set(len(self.engine.joined))
@@ -600,9 +640,11 @@
     def gone(self, link: LinkProtocol) -> None:
         """A link is over: its forwarder has left, unless a later link of its has taken the place."""
         self.links.discard(link)
+        self.strangers.pop(link, None)
         f = link.forwarder
         if self.forwarders.get(f) is link:
             del self.forwarders[f]
+            self.joins.forget(f)
             self.channel.leave(f)
             self.engine.leave(self.clock(), f)
             self.metrics.links.set(len(self.engine.joined))
@@ -614,11 +656,20 @@
         if self.stopped is None or self.stopped.done():
             return
         now, beat = self.clock(), self.config.forwarders.beat_ms
+        self.engine.overload.lagged(now, max(0.0, now - self.watched_at - beat / 4.0))
+        self.metrics.lag.observe(max(0.0, now - self.watched_at - beat / 4.0) / 1000.0)
+        self.metrics.put_off.set(self.engine.overload.put_off)
+        self.watched_at = now
+        if self.engine.overload.strained != self.strained:
+            self.strained = not self.strained
+            o = self.engine.overload
+            log.warning("late: ordinary moves wait" if self.strained else "in time again",
+                        lag_ms=round(o.lag, 1), busy=round(o.busy, 2))  # fmt: skip
         data = frames.encode(frames.Beat(now))
         for link in list(self.links):
             if why := link.link.overdue(now):
                 self.gate.warn("link closed", forwarder=link.forwarder, why=why)
-                link.end("silent" if why == "silent" else "no-hello", why)
+                link.end(why.replace(" ", "-"), why)
             elif link.joined and now - link.beat_at >= beat:
                 link.beat_at = now
                 link.send(data)
--- a/corallanding/steward/engine.py
+++ b/corallanding/steward/engine.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -15,6 +15,8 @@
 from ..store.api import Life
 from ..wire import frames
 from .gather import Gather
+from .overload import Limits as OverloadLimits
+from .overload import Overload
 
 
 class Decider(Protocol):
@@ -40,6 +42,8 @@
     lines: int
     mark: int
     to: tuple[int, ...]
+    orders: frames.Orders | None = None
+    urgent: bool = False  # a host must go: it may overtake what waits
 
 
 @dataclass(frozen=True)
@@ -82,6 +86,20 @@
     points: dict[int, dict[int, int]] = field(default_factory=dict)  # forwarder: {table: bits}
 
 
+def urgent(
+    lines: Sequence[tuple[int, int, float]], cordons: Sequence[tuple[int, bool]], going: Container[int]
+) -> bool:
+    """Whether an order takes a host out that is dead, draining or shut out, as its lines show.
+
+    A host that the list calls draining or removed, or one that is replaced in a single step, without the hold of an
+    ordinary move.
+    """
+    if any(on for _, on in cordons):
+        return True
+    new = {t for t, _, w in lines if w > 0}
+    return any(w <= 0 and (h in going or t in new) for t, h, w in lines)
+
+
 class Engine:
     """settings, seed: the module's. charge: the slices that this steward holds (none at sites without).
 
@@ -90,9 +108,11 @@
 
     def __init__(
         self, settings: api.Settings, seed: int, life: Life, charge: Iterable[int], addresses: dict[int, str],
-        decider: Callable[[api.Settings, int], Decider],
+        decider: Callable[[api.Settings, int], Decider], overload: OverloadLimits | None = None,
     ) -> None:  # fmt: skip
         self.set, self.module = settings, decider(settings, seed)
+        self.can_wait: int | None = getattr(self.module, "can_wait", None)
+        self.overload = Overload(overload or OverloadLimits())
         self.addresses = addresses
         self.life, self.seq = life, 0
         self.charge = set(charge)
@@ -117,6 +137,7 @@
         self.gone: set[int] = set()  # and those taken away
         self.unsaved: dict[int, dict[int, float]] = {}  # tables whose last writes the store did not take
         self.unsaved_resets: set[int] = set()
+        self.going: set[int] = set()  # hosts that the list calls draining or removed
 
     # ---- what happened ---------------------------------------------------------------------------------
 
@@ -227,15 +248,25 @@
     def decide(self, now: float) -> Writes:
         """Run the module on all that came until `now`; returns what is to be kept first."""
         now = self.now = max(now, self.now)  # a clock that steps back stands still for the module
+        later = []
         while self.timers and self.timers[0][0] <= now:
             at, count, handle = heapq.heappop(self.timers)
-            self.inbox.append((at, count, api.Due(handle)))
+            if handle == self.can_wait and self.overload.waits(now, handle):
+                later.append((now + self.set.report_every / 8, count, handle))
+            else:
+                self.inbox.append((at, count, api.Due(handle)))
+        for timer in later:
+            heapq.heappush(self.timers, timer)
         if now >= self.gather_at:
             for e in self.gather.due(now):
                 self.event(now, e)
             self.gather_at = now + self.set.report_every / 8
         self.inbox.sort(key=lambda item: item[:2])
         events = [e for _, _, e in self.inbox]
+        for e in events:
+            if isinstance(e, api.Membership):
+                for entry in e.entries:
+                    (self.going.discard if entry.state == "up" else self.going.add)(entry.host)
         self.inbox = []
         actions = self.module.step(now, events) if events or not self.steps else []
         self.steps += 1
@@ -360,7 +391,7 @@
             {h: self.addresses[h] for _, h, w in lines if w > 0 and h in self.addresses}, list(withdrawn),
         )  # fmt: skip
         cost = len(resets) + len(lines) + len(levels) + len(cordons) + len(points) + len(withdrawn)
-        return Send(frames.encode(frame), cost + (mark >= 0), mark, to)
+        return Send(frames.encode(frame), cost + (mark >= 0), mark, to, frame, urgent(lines, cordons, self.going))
 
     def readdress(self, hosts: Sequence[int]) -> None:
         """Hosts answer elsewhere now: one line for each that a table names."""
--- a/corallanding/steward/links.py
+++ b/corallanding/steward/links.py
@@ -19,7 +19,7 @@
     def __init__(self, steward: Steward) -> None:
         self.steward = steward
         self.link = Link(steward.limits, steward.clock())
-        self.joined = self.over = False
+        self.joined = self.over = self.paused = False
         self.beat_at = steward.clock()
         self.transport: asyncio.Transport | None = None
 
@@ -30,10 +30,15 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)
         self.transport = transport
-        if len(self.steward.links) >= self.steward.config.forwarders.most * 2:
+        s, f = self.steward, self.steward.config.forwarders
+        if len(s.links) >= f.most + f.strangers_most:
             self.end("full", "too many links")
             return
-        self.steward.links.add(self)
+        s.links.add(self)
+        s.strangers[self] = None
+        if len(s.strangers) > f.strangers_most:
+            # Who means it says hello at once: those that keep silent must not take the places of those that come.
+            next(iter(s.strangers)).end("no-hello", "others wait for the place")
 
     def data_received(self, data: bytes) -> None:
         if self.over:
@@ -59,6 +64,16 @@
             return False
         return True
 
+    def pause_writing(self) -> None:
+        """The socket's buffer is full: later orders wait in the channel, where a drain can still overtake them."""
+        self.paused = True
+        self.steward.socket(self, False)
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        if not self.over:
+            self.steward.socket(self, True)
+
     def end(self, code: str, text: str = "") -> None:
         """Close this one link, saying why if the other side still reads."""
         if self.over:
--- a/corallanding/telemetry/metrics.py
+++ b/corallanding/telemetry/metrics.py
@@ -13,6 +13,8 @@
         p = "corallanding_"
         self.step = Histogram(p + "step_seconds", "Time of one step, store included", registry=r, buckets=FINE)
         self.late = Histogram(p + "step_late_seconds", "How late a due step began", registry=r, buckets=FINE)
+        self.lag = Histogram(p + "loop_lag_seconds", "How late the loop came", registry=r, buckets=FINE)
+        self.put_off = Gauge(p + "turns_put_off", "Ordinary turns that waited while the steward was late", registry=r)
         self.ack = Histogram(p + "publish_to_ack_seconds", "From order to ack", registry=r, buckets=FINE)
         self.events = Counter(p + "events", "Events handed to the module", ["kind"], registry=r)
         self.actions = Counter(p + "actions", "Actions of the module", ["kind"], registry=r)
@@ -22,6 +24,7 @@
         self.most_waiting = Gauge(p + "channel_most_lines", "The most that ever waited", registry=r)
         self.lines = Counter(p + "lines_sent", "Table lines sent", registry=r)
         self.messages = Counter(p + "messages_sent", "Messages sent", registry=r)
+        self.overtaken = Counter(p + "orders_overtaken", "Forwarders at which a drain passed what waited", registry=r)
         self.reads = Counter(p + "table_reads", "Whole tables given to joining forwarders", registry=r)
         self.probes = Counter(p + "probes", "Probes ended, by end", ["end"], registry=r)
         self.store_faults = Counter(p + "store_faults", "Writes that the store did not take", registry=r)
--- a/corallanding/wire/link.py
+++ b/corallanding/wire/link.py
@@ -22,6 +22,8 @@
     frames_per_s: float = 400.0
     marks_most: int = 4_096
     buffer_most: int = 4 << 20
+    bytes_per_s: float = 4e6
+    ack_within: float = 15_000.0
 
 
 @dataclass
@@ -38,11 +40,13 @@
     marks: deque[tuple[int, float]] = field(default_factory=deque)  # marks sent and not acked, when
     recalled: bool = False  # a recall is out on this link
     allowance: float = field(init=False)
+    flow: float = field(init=False)  # that may still come, as `allowance` counts frames
     counted: float = field(init=False)
 
     def __post_init__(self) -> None:
         self.reader = Reader(frames.to_steward, self.limits.frame_most)
         self.heard, self.allowance, self.counted = self.now, self.limits.frames_per_s * 2, self.now
+        self.flow = self.limits.bytes_per_s * 2
 
     def receive(self, now: float, data: bytes) -> list[frames.Frame]:
         """Frames that stand in their place; raises a `LinkFault` at the first that does not.
@@ -52,11 +56,15 @@
         """
         found: list[frames.Frame] = self.reader.feed(data)
         self.acks.clear()
-        rate = self.limits.frames_per_s
-        self.allowance = min(rate * 2, self.allowance + (now - self.counted) * rate / 1000.0) - len(found)
+        rate, flow = self.limits.frames_per_s, self.limits.bytes_per_s
+        span = (now - self.counted) / 1000.0
+        self.allowance = min(rate * 2, self.allowance + span * rate) - len(found)
+        self.flow = min(flow * 2, self.flow + span * flow) - len(data)
         self.counted = now
         if self.allowance < 0:
             raise frames.LinkFault(f"more than {rate:g} frames a second")
+        if self.flow < 0:
+            raise frames.LinkFault(f"more than {flow:g} bytes a second")
         if found:
             self.heard = now
         for frame in found:
@@ -99,4 +107,7 @@
         """Why the link must end by now: no hello, or silence. Empty if it need not."""
         if not self.hello:
             return "no hello" if now - self.now > self.limits.hello_within else ""
+        if self.marks and now - self.marks[0][1] > self.limits.ack_within:
+            # It lives, and takes nothing in: what waits for its acks holds up moves for everybody.
+            return "no acks"
         return "silent" if now - self.heard > self.limits.silence else ""
