--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -90,7 +90,7 @@
                 )
                 self.links[number] = made[1]
                 return
-            except OSError:
+            except (OSError, RuntimeError):
                 continue
 
     async def run(self, seconds: float, out: str) -> None:
@@ -136,7 +136,7 @@
                     await asyncio.sleep(1.0 if kind in (0, 4) else 0.05)
                 writer.close()
                 await asyncio.sleep(0)
-            except OSError:
+            except (OSError, RuntimeError):
                 await asyncio.sleep(0.05)
 
     await asyncio.wait([asyncio.create_task(one(k)) for k in range(count)], timeout=seconds + 2)
@@ -200,7 +200,7 @@
                 _, writer = await asyncio.open_connection("127.0.0.1", port)
                 writer.close()
                 break
-            except OSError:
+            except (OSError, RuntimeError):
                 await asyncio.sleep(0.02)
         restarted = time.monotonic()
     for c in children:
