--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -38,6 +38,7 @@
 REPEATS = 0.5  # part of the unanswered invocations of a slice that are taken for clients' repeats
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
+MARKS = 300_000  # worked out in one ordinary turn; in larger fleets slices beyond them wait for a later one
 WRAP = 65536  # marks are numbered below this
 
 
@@ -95,6 +96,7 @@
     held: Host | None = None  # the old owner, listed until all have acked the mark or the hold ends
     hold_mark: int = 0
     hold_end: float = 0.0
+    looked: int = 0  # servers among which a turn has looked for a better owner
     rates: dict[int, float] = field(default_factory=dict)
 
     @property
@@ -567,20 +569,26 @@
                         self.shift(h, -s.part)
                         s.helpers.remove(h)
                     self.write(s)
+        left = MARKS
         for s, owner in [(s, s.owner) for s in self.slices.values() if s.owner]:
             if s.helpers and s.rate / len(s.helpers) < HOT / 2 * owner.space * self.mean:
                 s.helpers.remove(min(s.helpers, key=lambda h: self.score(s, h)))
                 self.write(s)
+            # Counted, not seen in the lists: what was worked out ahead must not change what is decided.
+            new = len(self.ranks.servers) - s.looked
+            if s.held or new > left:
+                continue
+            left, s.looked = left - new, s.looked + new
             # Most owners sit so well that nobody could take their place: none is looked for.
             sits, sitting, over = self.score(s, owner), SITTING * self.set.slices, self.used(owner) > SHED
             least, marks = sits * (min(sitting, 1.0) if over else sitting), self.ranks.of(s.id)[0]
-            if s.held or not marks or marks[0] * self.heaviest <= least:
+            if not marks or marks[0] * self.heaviest <= least:
                 continue
             if to := self.best(s, s.part, False, least):
                 # A sitting owner is preferred, but not to a new server once it holds far over its part: what
                 # a fleet grew by would stand idle until the old ones drown. Costs a release a few moves more.
-                new = (to.chilly or not to.load) and over
-                if self.score(s, to) > sits * (1.0 if new else sitting) and self.passes(s, to):
+                fresh = (to.chilly or not to.load) and over
+                if self.score(s, to) > sits * (1.0 if fresh else sitting) and self.passes(s, to):
                     self.give(s, to, hold=True)
 
     def passes(self, s: Slice, to: Host) -> bool:
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -123,3 +123,30 @@
     while ranks.warm(range(40), 500):
         calls += 1
     assert 7 <= calls <= 9 and set(ranks.done.values()) == {100}
+
+
+def test_work_done_ahead_changes_no_decision_and_a_first_turn_looks_at_so_many_slices_only() -> None:
+    """More marks than one turn works out: the same actions, whether they were there before or not."""
+    logs: list[list[str]] = []
+    hosts, slices = 500, 1_000
+    for eager in (False, True):
+        r = random.Random(1)
+        a = Assigner(api.Settings(operations=(golden.QUOTE,), slices=slices, queue_most=1e9), 1)
+        entries = tuple(api.HostEntry(h, weight=r.choice((1.0, 8.0))) for h in range(hosts))
+        events: list[api.Event] = [api.Membership(api.ListForm.FULL, 1, entries), api.ProxyJoined(0, 0, 1.0, True)]
+        for s in range(slices):
+            events += [api.SliceGiven(s, True), api.OnRecord(s, r.randrange(60), 1.0)]
+        log, now = [], 100_000.0
+        for _ in range(8):
+            out = a.step(now, events)
+            log += [repr(x) for x in out]
+            events = [api.Due(0), *(api.HostSums(0, h, 20, 0, 100.0, 500.0) for h in range(hosts)),
+                      *(api.SliceSums(s, 0, 9, 0, 500.0) for s in range(slices)),
+                      *(api.Acked(0, x.number) for x in out if isinstance(x, api.Mark))]  # fmt: skip
+            looked = sum(s.looked > 0 for s in a.slices.values())
+            assert looked == min(slices, 600 * (1 + round((now - 100_000.0) / 500.0)))
+            now += 500.0
+            while eager and a.ahead(50_000):
+                pass
+        logs.append(log)
+    assert logs[0] == logs[1] and sum("SetLine" in x for x in logs[0]) > 100
