--- a/bench/registry.py
+++ b/bench/registry.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -33,11 +34,37 @@
 from .turns import CONFIG, Raw
 
 HOSTS, FORWARDERS, SLICES, STEWARDS = 78, 130, 468, 3
+LARGE = (200, 300, 1200)
 PREFIX = "/corallanding/hosts/"
 
 
 class Link(Raw):
-    """Knows when it last heard of a change, and beats."""
+    """Beats, and counts with all others how many lines name each host."""
+
+    naming: Counter[int] = Counter()
+
+    def lines(self, t: int, row: set[int]) -> None:
+        self.naming.subtract(self.tables.get(t, ()))
+        self.naming.update(row)
+        self.tables[t] = row
+
+    def data_received(self, data: bytes) -> None:
+        for f in self.reader.feed(data):
+            if isinstance(f, frames.Tables):
+                if not f.given:
+                    for t in list(self.tables):
+                        self.lines(t, set())
+                for t, rows in f.tables:
+                    self.lines(t, {h for h, _ in rows})
+            elif isinstance(f, frames.Orders):
+                for t in f.withdrawn:
+                    self.lines(t, set())
+                for t, h, w in f.lines:
+                    row = set(self.tables.get(t, ()))
+                    (row.add if w > 0 else row.discard)(h)
+                    self.lines(t, row)
+                if f.mark >= 0:
+                    self.transport.write(frames.encode(frames.Ack(f.mark)))
 
     def beat(self) -> None:
         if not self.transport.is_closing():
@@ -62,17 +89,23 @@
     return (time.monotonic() - begun) * 1000.0
 
 
-async def fleet() -> dict[str, Any]:
+async def large() -> dict[str, Any]:
+    return await fleet(*LARGE)
+
+
+async def fleet(hosts: int = HOSTS, forwarders: int = FORWARDERS, slices: int = SLICES) -> dict[str, Any]:
+    Link.naming = Counter()
     r, chance = Registry(), np.random.default_rng(1)
     await r.start()
-    for n in range(HOSTS):
+    for n in range(hosts):
         await r.put(f"{PREFIX}{n}", host(n))
     links: list[list[Link]] = [[] for _ in range(STEWARDS)]
     with tempfile.TemporaryDirectory() as folder:
         processes, ports = [], [free_port() for _ in range(STEWARDS)]
         for me in range(STEWARDS):
-            text = CONFIG.format(port=ports[me], folder=folder, roster=1, slices=SLICES, forwarders=FORWARDERS,
-                                 rate=1e5, queue=(8 + 2 * SLICES) * FORWARDERS * 2, lines=2000)  # fmt: skip
+            text = CONFIG.format(port=ports[me], folder=folder, roster=1, slices=slices, forwarders=forwarders,
+                                 rate=1e3 * forwarders, queue=(8 + 2 * slices) * forwarders * 2,
+                                 lines=2000)  # fmt: skip
             block = f'registry {{\n  address = "127.0.0.1:{r.port}"\n  charge = true\n  lease_ms = 3000\n}}\n'
             text = text.replace('roster {\n  address = "127.0.0.1:1"\n}\n', block).replace("/s.db", f"/{me}.db")
             text = text.replace("steward {", f"steward {{\n  number = {me}\n  stewards = {STEWARDS}")
@@ -93,7 +126,7 @@
         beating = asyncio.create_task(beats())
         try:
             for me in range(STEWARDS):
-                for f in range(FORWARDERS):
+                for f in range(forwarders):
                     for _ in range(200):
                         try:
                             made = await loop.create_connection(lambda f=f: Link(f, chance), "127.0.0.1", ports[me])  # type: ignore[misc]
@@ -105,24 +138,25 @@
             def spoken(among: list[int]) -> bool:
                 """Each slice has a line at every forwarder, from one steward or another."""
                 return all(
-                    len({t for me in among for t, row in links[me][f].tables.items() if row}) == SLICES
-                    for f in (0, FORWARDERS // 2, FORWARDERS - 1)
+                    len({t for me in among for t, row in links[me][f].tables.items() if row}) == slices
+                    for f in (0, forwarders // 2, forwarders - 1)
                 )
 
             await until(lambda: spoken(list(range(STEWARDS))), 60)
             await asyncio.sleep(5.0)
             drains = []
             for k in range(30):
-                n = k % HOSTS
+                n = k % hosts
                 await r.put(f"{PREFIX}{n}", host(n, "draining"))
-                gone = lambda n=n: not any(n in row for rows in links for x in rows for row in x.tables.values())  # noqa: E731
+                gone = lambda n=n: not Link.naming[n]  # noqa: E731
                 drains.append(await until(gone, 20))
                 await r.put(f"{PREFIX}{n}", host(n))
                 await asyncio.sleep(0.3)
             before = {t for t, row in links[0][0].tables.items() if row}
             processes[0].send_signal(signal.SIGKILL)
             for x in links[0]:
-                x.tables.clear()
+                for t in list(x.tables):
+                    x.lines(t, set())
             takeover = await until(lambda: spoken([1, 2]), 30)
         finally:
             stop = True
@@ -131,7 +165,8 @@
                 if p.returncode is None:
                     p.kill()
             await r.stop()
-    return {"change_to_every_forwarder": quantiles(drains), "slices_of_the_killed_steward": len(before),
+    return {"hosts": hosts, "forwarders": forwarders, "slices": slices, "change_to_every_forwarder": quantiles(drains),
+            "slices_of_the_killed_steward": len(before),
             "killed_to_all_slices_spoken_for_ms": round(takeover), "lease_ms": 3000}  # fmt: skip
 
 
@@ -269,7 +304,7 @@
 def main() -> None:
     os.environ.setdefault("PYTHONPATH", ".")
     found: dict[str, Any] = {"machine": machine()}
-    for name, work in (("pace", pace), ("stampede", stampede), ("breaks", breaks), ("fleet", fleet)):
+    for name, work in (("pace", pace), ("stampede", stampede), ("breaks", breaks), ("fleet", fleet), ("large", large)):
         if len(sys.argv) > 1 and name not in sys.argv[1:]:
             continue
         found[name] = uvloop.run(work())
