--- a/corallanding/config/models.py
+++ b/corallanding/config/models.py
@@ -192,6 +192,9 @@
     sync: Literal["normal", "full"] = "normal"
     retry_ms: Ms = 250.0
     retry_most_ms: Ms = 5000.0
+    snapshot_path: str | None = None  # state of the module beside the tables; none: a new life begins from the tables
+    snapshot_every_ms: Annotated[float, Field(ge=100, le=3_600_000)] = 10_000.0
+    log_most_mb: Annotated[float, Field(gt=0, le=100_000)] = 256.0  # of steps after a snapshot
 
 
 class DoorBlock(Block):
@@ -272,6 +275,8 @@
             raise ValueError(f"steward.zone {self.steward.zone!r} is not one of zones")
         if self.steward.number >= self.steward.stewards:
             raise ValueError("steward.number must be below steward.stewards")
+        if self.store.snapshot_path and self.registry and self.registry.charge:
+            raise ValueError("store.snapshot_path: with registry.charge slices move between stewards; not both")
         if (self.roster.address is None) == (self.registry is None):
             raise ValueError("roster.address or a registry block must stand, and not both")
         if self.registry and self.roster.mode != "pushed":
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -34,16 +34,19 @@
 from ..reports.worth import Policy
 from ..roster.source import LineRoster, Source
 from ..roster.view import View, loopback
+from ..snapshot import file as snapshots
 from ..store import SqliteStore, Store, StoreFault, StoreHeld
 from ..telemetry import Gate, Metrics, configure, log
 from ..wire import frames
 from ..wire.link import Limits
 from . import engine as core
+from . import record
 from .joins import Joins
 from .links import LinkProtocol
 from .listen import Listener, descriptors
 from .overload import Limits as OverloadLimits
-from .record import Recorder
+from .record import Recorder, RecordFault
+from .revive import Step, StewardState, Unfit, capture, check, revive
 
 if TYPE_CHECKING:
     from ..registry.keeper import Keeper
@@ -64,6 +67,14 @@
         return self.last
 
 
+def boot_id() -> str:
+    """Names this run of the machine; empty where that cannot be told."""
+    try:
+        return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+    except OSError:
+        return ""
+
+
 def link_limits(c: StewardConfig) -> Limits:
     f = c.forwarders
     return Limits(
@@ -139,6 +150,9 @@
         self.keeper: Keeper | None = None
         self.writing: asyncio.Task[None] | None = None
         self.working_ahead = self.strained = False
+        self.steps_log: Recorder | None = None
+        self.log_number = 0
+        self.state_task: asyncio.Task[None] | None = None
         self.watched_at = self.spent = 0.0
         self.listed = False  # a list newer than the saved one has come in this life
 
@@ -151,10 +165,8 @@
         s, c = self.config.slices, self.config
         charge = range(s.first, s.count if s.last is None else s.last + 1)
         shared = c.registry is not None and c.registry.charge
+        state = self.last_state(life.number)
         now, wall = self.clock(), time.time() * 1000.0
-        if self.record:
-            # The seed of a life is its own: a restart must not draw the same chances again.
-            self.recorder = Recorder(self.record, self.settings, self.seed(life.number), c.record.most_mb * 1e6)
         self.engine = core.Engine(
             self.settings, self.seed(life.number), life, () if shared else charge, self.view.addresses, self.decider,
             OverloadLimits(c.steward.late_ms, c.steward.busy_share, c.steward.put_off_most_ms),
@@ -163,7 +175,17 @@
         self.engine.gather.keys_most = c.reports.keys_most
         saved = self.view.restore(now, wall, life.roster_version, life.roster, life.addresses, life.starts)
         self.engine.addresses = self.view.addresses
-        self.engine.begin(now, saved)
+        revived = state is not None and self.take_up(state, now)
+        if not revived:
+            self.engine.begin(now, saved)
+        if self.record:
+            # The seed of a life is its own: a restart must not draw the same chances again.
+            seed, most = self.seed(life.number), c.record.most_mb * 1e6
+            self.recorder = Recorder(self.record, self.settings, seed, most, revived)
+        if c.store.snapshot_path:
+            if not revived:
+                self.drop_logs(2**63)  # of a life that nothing is left of
+            self.keep_state()
         self.metrics.store_well.set(1)
         self.roster = self.make_source()
         host, port = loopback(c.steward.listen)
@@ -187,6 +209,8 @@
             self.feed = self.make_feed(c.load_reports)
             self.feed.start()
         self.roster.start()
+        if revived and self.settings.list_on_request:
+            self.roster.follow(True)
         if c.registry and shared:
             self.keeper = self.make_keeper(c.registry, charge)
             self.keeper.start()
@@ -199,6 +223,87 @@
             slices=len(self.engine.charge), tables=len(life.tables), hosts=len(life.roster),
         )  # fmt: skip
 
+    def last_state(self, life: int) -> StewardState | None:
+        """What the last life left; its clock goes on. None if there is nothing that can be used; the log says why."""
+        path = self.config.store.snapshot_path
+        if not path:
+            return None
+        try:
+            state = snapshots.read(path, StewardState)
+            check(state, self.config.steward.number, self.settings, boot_id(), life)
+        except snapshots.Missing:
+            return None
+        except (snapshots.SnapshotFault, Unfit, OSError) as fault:
+            log.warning("snapshot not used; the tables alone are", why=str(fault))
+            return None
+        self.clock.zero, self.log_number = state.zero, state.log
+        self.stepped_at = self.clock()
+        return state
+
+    def take_up(self, state: StewardState, now: float) -> bool:
+        """Begin where the last life was; false if that cannot be, and the log says why."""
+        origins = self.view.origins
+        try:
+            steps: list[Step] = []
+            while (path := Path(self.log_path(self.log_number))).exists():
+                steps += record.read(path).steps
+                self.log_number += 1
+            self.view.origins = {(h, started): since for h, started, since in state.origins}
+            count, anew = revive(self.engine, state, steps, now)
+        except (Unfit, RecordFault, OSError) as fault:
+            log.warning("snapshot not used; the tables alone are", why=str(fault))
+            self.view.origins = origins
+            return False
+        log.info("revived", life=state.life, steps=count, anew=len(anew), age_ms=round(now - state.now))
+        return True
+
+    def log_path(self, number: int) -> str:
+        return f"{self.config.store.snapshot_path}.log.{number}"
+
+    def drop_logs(self, below: int) -> None:
+        path = Path(str(self.config.store.snapshot_path))
+        for old in path.parent.glob(path.name + ".log.*"):
+            if old.suffix[1:].isdigit() and int(old.suffix[1:]) < below:
+                old.unlink(missing_ok=True)
+
+    def keep_state(self) -> None:
+        """Take a snapshot, and begin the log of what comes after it. Written beside the loop."""
+        if self.stopped is None or self.stopped.done():
+            return
+        loop, c = asyncio.get_running_loop(), self.config.store
+        loop.call_later(c.snapshot_every_ms / 1000.0, self.keep_state)
+        if self.engine.overload.strained or self.state_task and not self.state_task.done():
+            return  # the log goes on meanwhile
+        begun = self.clock()
+        number = self.log_number + 1
+        state = capture(
+            self.engine, self.config.steward.number, boot_id(), self.clock.zero, self.view.origins, number
+        )
+        if state is None or c.snapshot_path is None:
+            return
+        try:
+            fresh = Recorder(self.log_path(number), self.settings, state.module.seed, c.log_most_mb * 1e6, True)
+        except OSError as fault:
+            self.gate.warn("snapshot not kept", why=str(fault))
+            return
+        if self.steps_log:
+            self.steps_log.close()
+        self.steps_log, self.log_number = fresh, number
+        data = snapshots.pack(state)
+        self.metrics.snapshot_bytes.set(len(data))
+        self.metrics.snapshot.observe((self.clock() - begun) / 1000.0)
+        self.state_task = loop.create_task(self.write_state(c.snapshot_path, data, number))
+
+    async def write_state(self, path: str, data: bytes, number: int) -> None:
+        def work() -> None:
+            snapshots.place(path, data)
+            self.drop_logs(number)
+
+        try:
+            await asyncio.get_running_loop().run_in_executor(None, work)
+        except OSError as fault:
+            self.gate.warn("snapshot not kept", why=str(fault))
+
     def seed(self, life: int) -> int:
         return self.config.steward.seed * 1_000_003 + life
 
@@ -300,8 +405,9 @@
         self.timer_at = float("-inf")
         self.keep_roster()
         self.store.close()
-        if self.recorder:
-            self.recorder.close()
+        for recorder in (self.recorder, self.steps_log):
+            if recorder:
+                recorder.close()
         self.stopped.set_result(code)
 
     def reload(self) -> None:
@@ -369,6 +475,15 @@
             return
         assert self.engine.last is not None
         now, events, actions = self.engine.last
+        if self.steps_log and (events or actions):
+            self.steps_log.step(now, events, actions)
+            if self.steps_log.full:
+                # A log with a gap must not be taken up: without its snapshot it is nothing.
+                most = self.config.store.log_most_mb
+                log.error("the log of steps is full; the next snapshot begins another", most_mb=most)
+                Path(str(self.config.store.snapshot_path)).unlink(missing_ok=True)
+                self.steps_log.close()
+                self.steps_log = None
         if self.recorder and (events or actions):
             self.recorder.step(now, events, actions)
             if self.recorder.full:
--- a/corallanding/steward/record.py
+++ b/corallanding/steward/record.py
@@ -46,10 +46,12 @@
 class Recorder:
     """Writes one recording, up to `most` bytes; past that it stops and says so once (`full`)."""
 
-    def __init__(self, path: str | Path, settings: api.Settings, seed: int, most: float) -> None:
+    def __init__(
+        self, path: str | Path, settings: api.Settings, seed: int, most: float, middle: bool = False
+    ) -> None:
         self.file: BinaryIO = open(path, "wb", buffering=0)
         self.most, self.written, self.full = most, 0, False
-        head = {"corallanding": VERSION, "seed": seed, "settings": settings}
+        head = {"corallanding": VERSION, "seed": seed, "settings": settings, "middle": middle}
         self.item(head)
 
     def item(self, value: Any) -> None:
@@ -74,6 +76,7 @@
     seed: int
     steps: list[tuple[float, list[Any], list[Any]]]
     torn: bool  # the last item was cut off
+    middle: bool = False  # it begins in the middle of a life, after a snapshot
 
 
 def items(data: bytes) -> Iterator[bytes]:
@@ -97,7 +100,7 @@
         if not isinstance(head, dict) or head.get("corallanding") != VERSION:
             raise RecordFault(f"{path}: no recording of version {VERSION}")
         settings = msgspec.convert(head["settings"], api.Settings)
-        found = Recording(settings, int(head["seed"]), [], False)
+        found = Recording(settings, int(head["seed"]), [], False, bool(head.get("middle")))
         for part in parts:
             if not part:
                 found.torn = True
@@ -117,6 +120,8 @@
 
 def compare(found: Recording, decider: Any) -> str:
     """Runs the recording through `decider(settings, seed)`; the first difference as text, or ''."""
+    if found.middle:
+        return "begins in the middle of a life, after a snapshot: it cannot be run through by itself"
     module = decider(found.settings, found.seed)
     for number, (now, events, want) in enumerate(found.steps, 1):
         got = module.step(now, events)
--- /dev/null
+++ b/corallanding/steward/revive.py
@@ -0,0 +1,124 @@
+"""A steward's state between two lives: what is kept, and how a new life takes it up. Pure.
+
+The store has the tables and stays their only source. The snapshot has what is lost with a process: who was heard
+failing or slow, how far moves and holds had come, levels, timers. A log of steps after it brings it up to the last one.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import msgspec
+
+from .. import interface as api
+from ..balance import Assigner
+from ..snapshot.module import ModuleState, dump, load
+from .engine import Engine
+
+Step = tuple[float, Sequence[Any], Sequence[Any]]
+
+
+class Unfit(Exception):
+    """The snapshot is sound and does not belong to this start; the text says why."""
+
+
+class StewardState(msgspec.Struct):
+    number: int  # of the steward
+    settings: bytes  # digest of what the module goes by
+    boot: str  # of the machine: its monotonic clock goes on while this is the same
+    zero: float  # where on it the steward's clock begins, s
+    now: float
+    life: int
+    log: int  # number of the log whose steps come after this
+    module: ModuleState
+    levels: list[tuple[int, int, float, int]]
+    cordons: list[int]
+    points: list[tuple[int, list[tuple[int, int]]]]
+    timers: list[tuple[float, int]]
+    origins: list[tuple[int, float, float]]  # host, its start as listed, the same on the steward's clock
+
+
+def digest(settings: api.Settings) -> bytes:
+    return hashlib.blake2b(msgspec.json.encode(settings), digest_size=16).digest()
+
+
+def capture(
+    engine: Engine, number: int, boot: str, zero: float, origins: dict[tuple[int, float], float], log: int
+) -> StewardState | None:
+    """Between two steps. None if the module is not one that can be kept."""
+    if not isinstance(engine.module, Assigner):
+        return None
+    s = engine.state
+    return StewardState(
+        number, digest(engine.set), boot, zero, engine.now, engine.life.number, log, dump(engine.module),
+        [(t, bits, a, r) for (t, bits), (a, r) in s.levels.items()], sorted(s.cordons),
+        [(f, list(rows.items())) for f, rows in s.points.items()], [(at, h) for at, _, h in sorted(engine.timers)],
+        [(h, started, since) for (h, started), since in origins.items()],
+    )  # fmt: skip
+
+
+def check(state: StewardState, number: int, settings: api.Settings, boot: str, life: int) -> None:
+    """Raises `Unfit`."""
+    if state.number != number:
+        raise Unfit(f"it is of steward {state.number}, this is {number}")
+    if state.settings != digest(settings):
+        raise Unfit("the settings that decisions go by are others now")
+    if state.boot != boot or not boot:
+        raise Unfit("the machine has been started anew: its clock tells nothing of then")
+    if state.life != life - 1:
+        raise Unfit(f"it is of life {state.life}, the last one was {life - 1}")
+
+
+def revive(engine: Engine, state: StewardState, steps: Iterable[Step], now: float) -> tuple[int, list[int]]:
+    """Puts a new life's engine where the last one was. (steps replayed, slices told anew from the store).
+
+    Raises `Unfit`; the engine is untouched then.
+    """
+    try:
+        module = load(engine.set, state.module)
+    except ValueError as fault:
+        raise Unfit(str(fault)) from None
+    timers: list[tuple[float, int]]
+    levels = {(t, bits): (a, r) for t, bits, a, r in state.levels}
+    cordons, timers, count = set(state.cordons), list(state.timers), 0
+    for at, events, actions in steps:
+        for e in events:
+            if isinstance(e, api.Due) and (due := [t for t in timers if t[1] == e.handle]):
+                timers.remove(min(due))
+        if list(module.step(at, list(events))) != list(actions):
+            raise Unfit(f"step {count + 1} of its log is decided otherwise now")
+        count += 1
+        for a in actions:
+            if isinstance(a, api.Remind):
+                timers.append((at + a.after, a.handle))
+            elif isinstance(a, api.Level):
+                levels[a.slice, a.operations] = (a.amount, int(a.retry))
+            elif isinstance(a, api.Cordon):
+                (cordons.add if a.on else cordons.discard)(a.host)
+    if module.now > now:
+        raise Unfit("its clock is ahead of this one")
+    engine.module, engine.steps, engine.now = module, 1, module.now
+    engine.can_wait = getattr(module, "can_wait", None)
+    engine.state.levels, engine.state.cordons = levels, cordons
+    engine.timers = [(when, n, handle) for n, (when, handle) in enumerate(sorted(timers), 1)]  # sorted: a heap
+    engine.counter += len(timers)
+    for h in module.hosts.values():
+        if h.probing:  # that probe died with the last life, and says nothing
+            engine.event(now, api.ProbeDone(h.id, api.ProbeEnd.FULL))
+    for proxy in module.proxies:
+        engine.event(now, api.ProxyLeft(proxy))
+    # The store has the last word on tables: what differs, and what is new or gone, is told as ever.
+    anew = []
+    for id in [s for s in module.slices if s not in engine.charge]:
+        engine.event(now, api.SliceGiven(id, False))
+    for id in sorted(engine.charge):
+        kept = engine.state.tables.get(id, {})
+        here = module.slices.get(id)
+        if here is None or {h.id for h in here.lines} != set(kept):
+            if here is not None:
+                engine.event(now, api.SliceGiven(id, False))
+            engine.given(now, id)
+            anew.append(id)
+    return count, anew
--- a/corallanding/telemetry/metrics.py
+++ b/corallanding/telemetry/metrics.py
@@ -30,6 +30,9 @@
         self.store_faults = Counter(p + "store_faults", "Writes that the store did not take", registry=r)
         self.store_well = Gauge(p + "store_well", "1 while the store takes writes", registry=r)
         self.unsaved = Gauge(p + "unsaved_tables", "Tables published and not yet kept", registry=r)
+        taken = "Time that a snapshot takes from the loop"
+        self.snapshot = Histogram(p + "snapshot_seconds", taken, registry=r, buckets=FINE)
+        self.snapshot_bytes = Gauge(p + "snapshot_bytes", "Size of the last snapshot", registry=r)
         self.roster_version = Gauge(p + "roster_version", "Version of the list held", registry=r)
         self.roster_faults = Counter(p + "roster_faults", "Failures of the roster's source", registry=r)
         self.bad_rows = Counter(p + "roster_bad_rows", "Entries of lists left out", registry=r)
--- /dev/null
+++ b/tests/test_snapshot.py
@@ -0,0 +1,91 @@
+"""Snapshots: a module dumped and loaded acts as one that ran on; a file that is not right is refused by name."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import golden
+import msgspec
+import pytest
+
+from corallanding.balance import Assigner
+from corallanding.snapshot import file
+from corallanding.snapshot.module import DERIVED, ModuleState, dump, load
+
+WANT: dict[str, list[int]] = json.loads(golden.KEPT.read_text())
+
+
+class Broken(golden.Day):
+    """A day whose module is dumped, sent through bytes and loaded again, at every `every`-th step."""
+
+    every, steps = 0, 0
+
+    def step(self, events: list[golden.api.Event]) -> None:
+        super().step(events)
+        self.steps += 1
+        if self.every and self.steps % self.every == 0:
+            data = file.pack(dump(self.module))
+            self.module = load(self.set, file.unpack(data, ModuleState))
+
+
+@pytest.mark.parametrize(("seed", "every"), [(0, 1), (1, 7), (2, 13), (5, 50), (7, 97), (11, 31), (15, 400), (12, 1)])
+def test_a_module_loaded_again_acts_as_the_one_that_ran_through(seed: int, every: int) -> None:
+    _, over, hosts, slices = golden.DAYS[seed]
+    day = Broken(Assigner, seed, over, hosts, slices)
+    day.every = every
+    assert day.run() == WANT[str(seed)] and day.steps // every > 5
+
+
+def test_every_part_of_the_module_is_either_kept_or_worked_out_anew() -> None:
+    a = Assigner(golden.api.Settings(operations=(golden.QUOTE,)), 1)
+    a.step(0.0, [])
+    state = dump(a)
+    assert set(vars(a)) == set(state.values) | DERIVED | {"proxies", "sent", "typical"}
+    assert msgspec.msgpack.encode(state.values), "plain values only"
+
+
+def test_a_snapshot_of_other_fields_is_refused_by_their_names() -> None:
+    a = Assigner(golden.api.Settings(operations=(golden.QUOTE,)), 1)
+    a.step(0.0, [golden.api.Membership(golden.api.ListForm.FULL, 1, (golden.api.HostEntry(1),))])
+    state = dump(a)
+    state.host_fields = [*state.host_fields, "mood"]
+    with pytest.raises(ValueError, match="mood"):
+        load(a.set, state)
+
+
+class Body(msgspec.Struct):
+    a: int
+    b: str = ""
+
+
+def test_a_file_is_there_whole_or_not_at_all(tmp_path: Path) -> None:
+    path = tmp_path / "s.snap"
+    with pytest.raises(file.Missing, match="there is none"):
+        file.read(path, Body)
+    assert file.write(path, Body(5, "x")) == path.stat().st_size
+    assert file.read(path, Body) == Body(5, "x")
+    whole = path.read_bytes()
+    for cut in range(len(whole)):
+        path.write_bytes(whole[:cut])
+        with pytest.raises(file.Damaged, match="s.snap"):
+            file.read(path, Body)
+    for at in range(len(whole)):
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ 0x41]) + whole[at + 1 :])
+        with pytest.raises((file.Damaged, file.Newer)):
+            file.read(path, Body)
+    path.write_bytes(whole)
+    (tmp_path / "s.snap.new").mkdir()  # it cannot be written beside: the older one stands
+    with pytest.raises(OSError):
+        file.write(path, Body(6))
+    assert file.read(path, Body) == Body(5, "x")
+
+
+def test_versions_older_are_brought_up_and_newer_refused() -> None:
+    old = file.pack({"a": 1}, version=1)
+    ups = {1: lambda raw: {**raw, "b": "two"}, 2: lambda raw: {**raw, "a": raw["a"] + 10}}
+    assert file.unpack(old, Body, 3, ups) == Body(11, "two")
+    with pytest.raises(file.Damaged, match="no way from version 2 to 3"):
+        file.unpack(old, Body, 3, {1: ups[1]})
+    with pytest.raises(file.Newer, match="version 4; this program knows versions up to 3"):
+        file.unpack(file.pack({}, version=4), Body, 3, ups)
