--- /dev/null
+++ b/corallanding/upgrade/core.py
@@ -0,0 +1,164 @@
+"""Two processes, one steward: which of them speaks, at every instant. Pure: messages and time in, actions out.
+
+    old: Spawn                      new: starts, checks its configuration
+         <- ready (protocol)
+         Pause, send state, sockets
+                                         Load, check itself
+         <- checked
+         CloseStore, send commit         (until here the old one carries on if anything is wrong)
+                                         OpenStore, Run
+         <- taken
+         Exit                            (from commit on the new one speaks; the old one only if it has ended it)
+
+Either side that waits in vain ends the other by its process number before it speaks: a process that stands still may
+wake up. Only one may do so, whoever has the arbiter (a file lock): else both could end each other.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+PROTOCOL = 1
+
+
+class Do(Enum):
+    SPAWN = "spawn"
+    PAUSE = "pause"  # no step, no read, no accept; what was written has left
+    SEND_STATE = "send state"
+    CLOSE_STORE = "close store"
+    SEND_COMMIT = "send commit"
+    END_OTHER = "end other"  # only with the arbiter; returns once it is surely dead
+    RESUME = "resume"  # speak again, the store opened anew if it was closed
+    SEND_READY = "send ready"
+    LOAD = "load"
+    SEND_CHECKED = "send checked"
+    OPEN_STORE = "open store"
+    RUN = "run"  # speak, from the state that came
+    COLD_START = "cold start"  # speak, from the store alone
+    SEND_TAKEN = "send taken"
+    SEND_FAILED = "send failed"
+    EXIT = "exit"
+
+
+class Phase(Enum):
+    IDLE = "idle"
+    SPAWNED = "spawned"
+    OFFERED = "offered"
+    COMMITTED = "committed"
+    OVER = "over"
+    STARTING = "starting"
+    WAITING = "waiting for state"
+    CHECKED = "checked"
+    OWNER = "owner"
+
+
+@dataclass
+class Old:
+    """The process that speaks now. within: ms for each phase. ended: why it came to an end without handing over."""
+
+    within: float
+    phase: Phase = Phase.IDLE
+    deadline: float = 0.0
+    why: str = ""
+
+    def begin(self, now: float) -> list[Do]:
+        self.phase, self.deadline, self.why = Phase.SPAWNED, now + self.within, ""
+        return [Do.SPAWN]
+
+    def heard(self, now: float, what: str, detail: str = "") -> list[Do]:
+        self.deadline = now + self.within
+        match self.phase, what:
+            case Phase.SPAWNED, "ready":
+                if detail != str(PROTOCOL):
+                    return self.back(f"the new process speaks handover protocol {detail}, this one {PROTOCOL}")
+                self.phase = Phase.OFFERED
+                return [Do.PAUSE, Do.SEND_STATE]
+            case Phase.OFFERED, "checked":
+                self.phase = Phase.COMMITTED
+                return [Do.CLOSE_STORE, Do.SEND_COMMIT]
+            case Phase.COMMITTED, "taken":
+                self.phase = Phase.OVER
+                return [Do.EXIT]
+            case _, "failed":
+                return self.back(detail)
+        return self.back(f"{what!r} came while {self.phase.value}")
+
+    def lost(self, now: float) -> list[Do]:
+        """The new process is gone, or its end of the pipe."""
+        return self.back("the new process ended")
+
+    def tick(self, now: float) -> list[Do]:
+        if self.phase in (Phase.IDLE, Phase.OVER) or now < self.deadline:
+            return []
+        return self.back(f"nothing came from the new process within {self.within:g} ms ({self.phase.value})")
+
+    def back(self, why: str) -> list[Do]:
+        if self.phase in (Phase.IDLE, Phase.OVER):
+            return []
+        self.phase, self.why = Phase.IDLE, why
+        return [Do.END_OTHER, Do.RESUME]
+
+    def beaten(self) -> list[Do]:
+        """The arbiter is the other's: it takes over, and this process is as good as dead."""
+        self.phase = Phase.OVER
+        return [Do.EXIT]
+
+
+@dataclass
+class New:
+    """The process that is to speak."""
+
+    within: float
+    phase: Phase = Phase.STARTING
+    deadline: float = 0.0
+
+    def begin(self, now: float) -> list[Do]:
+        self.phase, self.deadline = Phase.WAITING, now + self.within
+        return [Do.SEND_READY]
+
+    def heard(self, now: float, what: str, detail: str = "") -> list[Do]:
+        self.deadline = now + self.within
+        match self.phase, what:
+            case Phase.WAITING, "state":
+                return [Do.LOAD]
+            case Phase.CHECKED, "commit":
+                self.phase = Phase.OWNER
+                return [Do.OPEN_STORE, Do.RUN, Do.SEND_TAKEN]
+        self.phase = Phase.OVER
+        return [Do.EXIT]
+
+    def loaded(self, now: float, ok: bool) -> list[Do]:
+        if not ok:
+            self.phase = Phase.OVER
+            return [Do.SEND_FAILED, Do.EXIT]
+        self.phase, self.deadline = Phase.CHECKED, now + self.within
+        return [Do.SEND_CHECKED]
+
+    def opened(self, now: float, ok: bool) -> list[Do]:
+        """The store was opened, or not: then the old one takes it again."""
+        if ok:
+            return []
+        self.phase = Phase.OVER
+        return [Do.SEND_FAILED, Do.EXIT]
+
+    def lost(self, now: float) -> list[Do]:
+        """The old process is gone: nothing but this one is left."""
+        match self.phase:
+            case Phase.CHECKED:
+                self.phase = Phase.OWNER
+                return [Do.OPEN_STORE, Do.RUN]
+            case Phase.STARTING | Phase.WAITING:
+                self.phase = Phase.OWNER
+                return [Do.COLD_START]
+        return []
+
+    def tick(self, now: float) -> list[Do]:
+        if self.phase not in (Phase.WAITING, Phase.CHECKED) or now < self.deadline:
+            return []
+        # It stands still, and may wake up.
+        return [Do.END_OTHER, *self.lost(now)]
+
+    def beaten(self) -> list[Do]:
+        self.phase = Phase.OVER
+        return [Do.EXIT]
