corallanding upgrade: listeners, links and state pass to a new process

A new version took a stop of the steward: every forwarder dialled anew and read its tables. Over a private pair of unix sockets the new process now gets the listening sockets, each link with its half frames and unacked marks, the module's state, what the channel holds, sums, joins and timers; the clock goes on. On sockets: ten upgrades in a row with frames cut in the middle, no link joined anew, each drain in between reached the forwarders. A configuration that does not parse and a program that ends leave the old process at work; other settings share no state: listeners go over, forwarders join anew.

--- a/corallanding/cli/main.py
+++ b/corallanding/cli/main.py
@@ -34,11 +34,47 @@
 def steward(
     config: Annotated[Path, typer.Option("--config", help="the steward's configuration")],
     record: Annotated[Optional[Path], typer.Option("--record", help="keep a recording here")] = None,  # noqa: UP045
+    take_over: Annotated[Optional[int], typer.Option("--take-over", hidden=True)] = None,  # noqa: UP045
 ) -> None:
-    """Run a steward until SIGTERM. SIGHUP reloads what can be reloaded."""
+    """Run a steward until SIGTERM. SIGHUP reloads what can be reloaded, SIGUSR2 hands over to a new process."""
     from ..steward.daemon import run
 
-    raise typer.Exit(run(str(config), str(record) if record else None))
+    raise typer.Exit(run(str(config), str(record) if record else None, take_over=take_over))
+
+
+@app.command()
+def upgrade(
+    config: Annotated[Path, typer.Option("--config", help="the running steward's configuration")],
+    command: Annotated[
+        Optional[str],  # noqa: UP045
+        typer.Option("--command", help="the new program and its arguments; without it, the program that runs now"),
+    ] = None,
+) -> None:
+    """Hand a running steward over to a new process: listeners, links and state, with no invocation lost."""
+    import shlex
+    import socket
+
+    from ..config import ConfigFault, load_steward
+
+    try:
+        found = load_steward(config)
+    except ConfigFault as fault:
+        raise fail(fault) from None
+    path = found.steward.control
+    if not path:
+        raise fail(f"{config}: steward.control is not set: there is no way to the running steward")
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.settimeout(found.steward.upgrade_within_ms * 6 / 1000.0)
+        try:
+            sock.connect(path)
+            words = ["upgrade", *shlex.split(command or "")]
+            sock.sendall("\0".join(words).encode() + b"\n")
+            answer = sock.makefile().readline().strip()
+        except OSError as fault:
+            raise fail(f"{path}: {fault}", 1) from None
+    if not answer.startswith("ok"):
+        raise fail(answer or "the steward ended without an answer", 1)
+    print(answer)
 
 
 @app.command()
--- a/corallanding/config/models.py
+++ b/corallanding/config/models.py
@@ -38,6 +38,8 @@
     late_ms: Ms = 100.0  # lateness of its own from which a steward puts off looking for better owners
     busy_share: Annotated[float, Field(gt=0, le=1)] = 0.5  # or part of the time that its steps fill
     put_off_most_ms: Ms = 5000.0
+    control: str | None = None  # a unix socket for `corallanding upgrade`
+    upgrade_within_ms: Ms = 5000.0  # for each phase of a handover
     peers: dict[str, Address] = {}
     peer_listen: Address | None = None
 
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import json
+import os
 import random
 import signal
+import socket
 import sys
 import time
 from collections import Counter
@@ -35,23 +37,28 @@
 from ..roster.source import LineRoster, Source
 from ..roster.view import View, loopback
 from ..snapshot import file as snapshots
+from ..snapshot.module import load as load_module
 from ..store import SqliteStore, Store, StoreFault, StoreHeld
 from ..telemetry import Gate, Metrics, configure, log
+from ..upgrade.pipe import Pipe, peer_of
+from ..upgrade.state import Handed, take
 from ..wire import frames
 from ..wire.link import Limits
 from . import engine as core
 from . import record
+from .handover import Given, Giver, Taker, command_of, why_not
 from .joins import Joins
 from .links import LinkProtocol
 from .listen import Listener, descriptors
 from .overload import Limits as OverloadLimits
 from .record import Recorder, RecordFault
-from .revive import Step, StewardState, Unfit, capture, check, revive
+from .revive import Step, StewardState, Unfit, boot_id, capture, check, revive
 
 if TYPE_CHECKING:
     from ..registry.keeper import Keeper
 
 SPARE_DESCRIPTORS = 200  # for the store, probes, the door, the registry, and links that are being closed
+FLUSH = 300.0  # ms that a link may take to send what was written before a handover
 AHEAD = 2_000  # marks of the module worked out at a time between steps: a millisecond or two
 ORIGIN = 1e9  # ms: where the clock begins, so that a start "long ago" (0) lies further back than any setting
 
@@ -67,14 +74,6 @@
         return self.last
 
 
-def boot_id() -> str:
-    """Names this run of the machine; empty where that cannot be told."""
-    try:
-        return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
-    except OSError:
-        return ""
-
-
 def link_limits(c: StewardConfig) -> Limits:
     f = c.forwarders
     return Limits(
@@ -149,7 +148,8 @@
         self.factors: dict[int, float] = {}
         self.keeper: Keeper | None = None
         self.writing: asyncio.Task[None] | None = None
-        self.working_ahead = self.strained = False
+        self.working_ahead = self.strained = self.paused = self.giving = self.handed_over = False
+        self.control: asyncio.Server | None = None
         self.steps_log: Recorder | None = None
         self.log_number = 0
         self.state_task: asyncio.Task[None] | None = None
@@ -158,14 +158,19 @@
 
     # ---- life ------------------------------------------------------------------------------------------
 
-    async def start(self) -> None:
+    async def start(self, handed: Handed | None = None, fds: Sequence[int] = ()) -> None:
+        """handed, fds: what the process before this one hands over (`upgrade`)."""
         loop = asyncio.get_running_loop()
         self.stopped = loop.create_future()
         life = self.store.open()
         s, c = self.config.slices, self.config
         charge = range(s.first, s.count if s.last is None else s.last + 1)
         shared = c.registry is not None and c.registry.charge
-        state = self.last_state(life.number)
+        if handed:
+            state, self.clock.zero, self.log_number = None, handed.state.zero, handed.state.log
+            self.stepped_at = self.clock()
+        else:
+            state = self.last_state(life.number)
         now, wall = self.clock(), time.time() * 1000.0
         self.engine = core.Engine(
             self.settings, self.seed(life.number), life, () if shared else charge, self.view.addresses, self.decider,
@@ -175,9 +180,12 @@
         self.engine.gather.keys_most = c.reports.keys_most
         saved = self.view.restore(now, wall, life.roster_version, life.roster, life.addresses, life.starts)
         self.engine.addresses = self.view.addresses
-        revived = state is not None and self.take_up(state, now)
-        if not revived:
+        revived = handed is not None or (state is not None and self.take_up(state, now))
+        if handed:
+            self.take_over(handed, now)
+        elif not revived:
             self.engine.begin(now, saved)
+        given = Given(fds)
         if self.record:
             # The seed of a life is its own: a restart must not draw the same chances again.
             seed, most = self.seed(life.number), c.record.most_mb * 1e6
@@ -194,14 +202,17 @@
             log.warning("few descriptors: not all forwarders can be joined", have=have, needed=needed)
         self.listener = Listener(
             host, port, 1024, c.forwarders.accepts_per_s, lambda: LinkProtocol(self),
-            lambda why: self.gate.warn("link not taken", why=why),
+            lambda why: self.gate.warn("link not taken", why=why), given.listening(host, port),
         )  # fmt: skip
         self.servers.append(self.listener)
         if c.door:
             routes = {"/healthz": self.healthz, "/metrics": self.metrics_page, "/tables": self.tables_page}
             self.door = Door(routes, c.door.connections_most, c.door.header_most_bytes, c.door.request_within_ms)
             host, port = loopback(c.door.listen)
-            self.servers.append(await loop.create_server(self.door.protocol, host, port))
+            if sock := given.listening(host, port):
+                self.servers.append(await loop.create_server(self.door.protocol, sock=sock))
+            else:
+                self.servers.append(await loop.create_server(self.door.protocol, host, port))
         if c.steward.peer_listen:
             where = loopback(c.steward.peer_listen)
             self.peer_transport, _ = await loop.create_datagram_endpoint(lambda: Peers(self), local_addr=where)
@@ -214,6 +225,20 @@
         if c.registry and shared:
             self.keeper = self.make_keeper(c.registry, charge)
             self.keeper.start()
+        if c.steward.control:
+            await self.open_control(c.steward.control)
+        if handed:
+            for link, sock in zip(handed.links, given.rest(len(handed.links)), strict=True):
+                if sock:
+                    await loop.connect_accepted_socket(lambda link=link: LinkProtocol(self, link), sock)  # type: ignore[misc]
+            for f in [f for f in self.engine.joined if f not in self.forwarders]:
+                self.channel.leave(f)
+                self.engine.leave(now, f)
+            for f in self.forwarders:
+                self.channel.block(f, False)  # nothing of ours waits in their sockets
+            self.admit()
+            self.pump()
+        given.close()
         self.watched_at = self.clock() - c.forwarders.beat_ms / 4.0
         self.watch_links()
         self.wake()
@@ -223,6 +248,99 @@
             slices=len(self.engine.charge), tables=len(life.tables), hosts=len(life.roster),
         )  # fmt: skip
 
+    # ---- handover --------------------------------------------------------------------------------------
+
+    def can_take(self, h: Handed) -> None:
+        """Whether this process can go on from there. Raises `Unfit`."""
+        check(h.state, self.config.steward.number, self.settings, boot_id(), h.state.life + 1)
+        try:
+            load_module(self.settings, h.state.module)
+        except (ValueError, TypeError) as fault:
+            raise Unfit(str(fault)) from None
+
+    def take_over(self, h: Handed, now: float) -> None:
+        v = self.view
+        v.version, v.entries = h.version, {e.host: e for e in h.entries}
+        v.addresses, v.starts, v.known = dict(h.addresses), dict(h.starts), set(h.known)
+        v.origins = {(host, started): since for host, started, since in h.state.origins}
+        self.engine.addresses = v.addresses
+        take(self.engine, h, self.channel, self.joins, now)
+        self.listed = True
+
+    async def pause(self) -> None:
+        """Say nothing and hear nothing from here on; what was written has left, or its link ends."""
+        self.paused = True
+        for handle in (self.timer, self.pump_timer, self.admitting):
+            if handle:
+                handle.cancel()
+        self.timer, self.timer_at = None, float("inf")
+        self.listener.hold(True)
+        for output in self.engine.publish(False):
+            self.carry_out(self.clock(), output)
+        for link in self.links:
+            if link.transport:
+                link.transport.pause_reading()
+        end = self.clock() + FLUSH
+        while (full := [x for x in self.links if x.unsent]) and self.clock() < end:
+            await asyncio.sleep(0.001)
+        for link in full:
+            link.end("not-reading", "")
+
+    def resume(self) -> None:
+        """Nothing came of the handover: all goes on."""
+        self.paused = False
+        self.listener.hold(False)
+        for link in list(self.links):
+            if link.transport and not link.over:
+                link.transport.resume_reading()
+        self.admit()
+        self.pump()
+        self.wake()
+
+    async def upgrade(self, command: list[str] | None = None) -> str:
+        """Hand over to a new process; why nothing came of it, or "" once it speaks."""
+        if self.giving:
+            return "a handover is under way"
+        if why := why_not(self):
+            return why
+        self.giving = True
+        begun = self.clock()
+        try:
+            command = command or command_of(str(self.path))
+            log.info("handing over", command=" ".join(command))
+            why = await Giver(self, command, self.config.steward.upgrade_within_ms).run()
+        finally:
+            self.giving = False
+        if why:
+            log.error("handover came to nothing; this process carries on", why=why)
+        else:
+            log.info("handed over", ms=round(self.clock() - begun))
+        return why
+
+    async def open_control(self, path: str) -> None:
+        """The socket that `corallanding upgrade` speaks to: this user's only."""
+        Path(path).unlink(missing_ok=True)
+        self.control = await asyncio.start_unix_server(self.controlled, path)
+        os.chmod(path, 0o600)
+
+    async def controlled(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            _, uid = peer_of(writer.get_extra_info("socket"))
+            words = (await asyncio.wait_for(reader.readline(), 2.0)).decode("utf-8", "replace").split("\0")
+            if uid != os.getuid():
+                answer = "failed: another user"
+            elif words[0].strip() != "upgrade":
+                answer = f"failed: {words[0].strip()[:40]!r} is not known here"
+            else:
+                why = await self.upgrade([w.strip() for w in words[1:]] or None)
+                answer = f"failed: {why}" if why else "ok: handed over"
+            writer.write(answer.encode() + b"\n")
+            await writer.drain()
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            writer.close()
+
     def last_state(self, life: int) -> StewardState | None:
         """What the last life left; its clock goes on. None if there is nothing that can be used; the log says why."""
         path = self.config.store.snapshot_path
@@ -272,7 +390,7 @@
             return
         loop, c = asyncio.get_running_loop(), self.config.store
         loop.call_later(c.snapshot_every_ms / 1000.0, self.keep_state)
-        if self.engine.overload.strained or self.state_task and not self.state_task.done():
+        if self.paused or self.engine.overload.strained or self.state_task and not self.state_task.done():
             return  # the log goes on meanwhile
         begun = self.clock()
         number = self.log_number + 1
@@ -385,6 +503,8 @@
         log.info("stopping", code=code)
         for server in self.servers:
             server.close()
+        if self.control:
+            self.control.close()
         for link in list(self.links):
             link.end("stopping")
         if self.config.door:
@@ -450,7 +570,7 @@
     def wake(self) -> None:
         """A step comes at the engine's next due time, and never sooner than a turn after the last."""
         due = self.engine.next_at(self.clock())
-        if due is None or self.stopped is None or self.stopped.done() or self.writing:
+        if due is None or self.stopped is None or self.stopped.done() or self.writing or self.paused:
             return
         at = max(due, self.clock(), self.stepped_at + self.config.steward.turn_ms)
         if at >= self.timer_at:
@@ -632,6 +752,8 @@
 
     def pump(self) -> None:
         """Send what the channel lets go by now, and come again when it lets go more."""
+        if self.paused:
+            return
         now = self.clock()
         for forwarder, message in self.channel.due(now):
             link = self.forwarders.get(forwarder)
@@ -682,7 +804,7 @@
                 link.end("bye")
         self.wake()
 
-    def socket(self, link: LinkProtocol, takes: bool) -> None:
+    def takes(self, link: LinkProtocol, takes: bool) -> None:
         """A forwarder's socket takes no more for now, or takes more again."""
         if link.joined and self.forwarders.get(link.forwarder) is link:
             self.channel.block(link.forwarder, not takes)
@@ -711,6 +833,8 @@
 
     def admit(self) -> None:
         """Joins are let in at the pace of the settings: each reads all tables."""
+        if self.paused:
+            return
         now = self.clock()
         for forwarder in self.joins.due(now):
             if (link := self.forwarders.get(forwarder)) and link.link.hello and not link.joined:
@@ -781,14 +905,14 @@
             log.warning("late: ordinary moves wait" if self.strained else "in time again",
                         lag_ms=round(o.lag, 1), busy=round(o.busy, 2))  # fmt: skip
         data = frames.encode(frames.Beat(now))
-        for link in list(self.links):
+        for link in () if self.paused else list(self.links):
             if why := link.link.overdue(now):
                 self.gate.warn("link closed", forwarder=link.forwarder, why=why)
                 link.end(why.replace(" ", "-"), why)
-            elif link.joined and now - link.beat_at >= beat:
+            elif link.joined and not self.paused and now - link.beat_at >= beat:
                 link.beat_at = now
                 link.send(data)
-        if self.roster_dirty:
+        if self.roster_dirty and not self.paused:
             self.keep_roster()
         asyncio.get_running_loop().call_later(beat / 4000.0, self.watch_links)
 
@@ -893,13 +1017,20 @@
 
 
 async def serve(
-    path: str, record: str | None, decider: Callable[[api.Settings, int], core.Decider] = Assigner
-) -> int:
+    path: str, record: str | None, decider: Callable[[api.Settings, int], core.Decider] = Assigner,
+    take_over: int | None = None,
+) -> int:  # fmt: skip
     config = load_steward(path)
     configure(config.log.format, config.log.level)
     steward = Steward(config, decider, record, path)
     try:
-        await steward.start()
+        if take_over is None:
+            await steward.start()
+        else:
+            pipe = Pipe(socket.socket(fileno=take_over))
+            within = config.steward.upgrade_within_ms
+            if not await Taker(pipe, within, config.store.path, steward.can_take, steward.start).run():
+                return 6
     except StoreFault as fault:
         log.error("cannot start", why=str(fault))
         return 4
@@ -910,18 +1041,26 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: retiring.append(loop.create_task(steward.retire())))
     loop.add_signal_handler(signal.SIGHUP, steward.reload)
+    loop.add_signal_handler(signal.SIGUSR2, lambda: retiring.append(loop.create_task(steward.upgrade())))  # type: ignore[arg-type]
     assert steward.stopped is not None
     code = await steward.stopped
     await asyncio.sleep(0.05)  # last words of the links
+    if steward.handed_over:
+        # The sockets are another process's now: nothing here may say goodbye on them.
+        sys.stdout.flush()
+        sys.stderr.flush()
+        os._exit(code)
     return code
 
 
 def run(
-    path: str, record: str | None = None, decider: Callable[[api.Settings, int], core.Decider] = Assigner
-) -> int:
-    """The daemon until it ends; its exit code: 0 clean, 2 configuration, 3 module, 4 store, 5 address."""
+    path: str, record: str | None = None, decider: Callable[[api.Settings, int], core.Decider] = Assigner,
+    take_over: int | None = None,
+) -> int:  # fmt: skip
+    """The daemon until it ends; its exit code: 0 clean, 2 configuration, 3 module, 4 store, 5 address, 6 nothing came
+    of a handover. take_over: the descriptor of a pipe to the process that hands over."""
     try:
-        return uvloop.run(serve(path, record, decider))
+        return uvloop.run(serve(path, record, decider, take_over))
     except ConfigFault as fault:
         print(fault, file=sys.stderr)
         return 2
--- a/corallanding/steward/links.py
+++ b/corallanding/steward/links.py
@@ -5,22 +5,28 @@
 import asyncio
 from typing import TYPE_CHECKING, cast
 
+from ..upgrade.state import put_link
 from ..wire import frames
 from ..wire.frames import LinkFault
 from ..wire.link import Link
 
 if TYPE_CHECKING:
+    from ..upgrade.state import LinkState
     from .daemon import Steward
 
 
 class LinkProtocol(asyncio.Protocol):
     """One connection of a forwarder. `joined` once its tables were sent."""
 
-    def __init__(self, steward: Steward) -> None:
-        self.steward = steward
+    def __init__(self, steward: Steward, handed: LinkState | None = None) -> None:
+        """handed: the connection was another process's."""
+        self.steward, self.handed = steward, handed
         self.link = Link(steward.limits, steward.clock())
         self.joined = self.over = self.paused = False
         self.beat_at = steward.clock()
+        if handed:
+            put_link(self.link, handed)
+            self.joined, self.beat_at = handed.joined, handed.beat_at
         self.transport: asyncio.Transport | None = None
 
     @property
@@ -35,6 +41,9 @@
             self.end("full", "too many links")
             return
         s.links.add(self)
+        if self.handed:
+            s.forwarders[self.forwarder] = self
+            return
         s.strangers[self] = None
         if len(s.strangers) > f.strangers_most:
             # Who means it says hello at once: those that keep silent must not take the places of those that come.
@@ -53,6 +62,10 @@
             if not self.over:
                 self.steward.frame(self, frame)
 
+    @property
+    def unsent(self) -> int:
+        return self.transport.get_write_buffer_size() if self.transport and not self.over else 0
+
     def send(self, data: bytes) -> bool:
         """False if the forwarder reads too slowly: it is cut off, and reads the store when it is back."""
         if self.over or self.transport is None:
@@ -67,12 +80,12 @@
     def pause_writing(self) -> None:
         """The socket's buffer is full: later orders wait in the channel, where a drain can still overtake them."""
         self.paused = True
-        self.steward.socket(self, False)
+        self.steward.takes(self, False)
 
     def resume_writing(self) -> None:
         self.paused = False
         if not self.over:
-            self.steward.socket(self, True)
+            self.steward.takes(self, True)
 
     def end(self, code: str, text: str = "") -> None:
         """Close this one link, saying why if the other side still reads."""
--- a/corallanding/steward/listen.py
+++ b/corallanding/steward/listen.py
@@ -22,16 +22,18 @@
 
     def __init__(
         self, host: str, port: int, backlog: int, rate: float, factory: Callable[[], asyncio.Protocol],
-        said: Callable[[str], None],
+        said: Callable[[str], None], given: socket.socket | None = None,
     ) -> None:  # fmt: skip
+        """given: a socket that listens already, from the process before this one."""
         self.rate, self.factory, self.said = rate, factory, said
         self.loop = asyncio.get_running_loop()
-        self.socket = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket = given or socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setblocking(False)
         try:
-            self.socket.bind((host, port))
-            self.socket.listen(backlog)
+            if given is None:
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                self.socket.bind((host, port))
+                self.socket.listen(backlog)
         except OSError:
             self.socket.close()
             raise
@@ -40,7 +42,7 @@
         self.tasks: set[asyncio.Task[Any]] = set()
         self.timer: asyncio.TimerHandle | None = None
         self.taken = self.short = 0
-        self.closed = False
+        self.closed = self.held = False
         self.loop.add_reader(self.socket, self.take)
 
     @property
@@ -82,8 +84,16 @@
         self.loop.remove_reader(self.socket)
         self.timer = self.loop.call_later(seconds, self.again)
 
+    def hold(self, on: bool) -> None:
+        """Take none for now; they wait in the kernel."""
+        self.held = on
+        if self.timer:
+            self.timer.cancel()
+        self.loop.remove_reader(self.socket)
+        self.again()
+
     def again(self) -> None:
-        if not self.closed:
+        if not self.closed and not self.held:
             self.loop.add_reader(self.socket, self.take)
             self.take()
 
--- a/corallanding/steward/revive.py
+++ b/corallanding/steward/revive.py
@@ -8,6 +8,7 @@
 
 import hashlib
 from collections.abc import Iterable, Sequence
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -40,6 +41,14 @@
     origins: list[tuple[int, float, float]]  # host, its start as listed, the same on the steward's clock
 
 
+def boot_id() -> str:
+    """Names this run of the machine; empty where that cannot be told."""
+    try:
+        return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+    except OSError:
+        return ""
+
+
 def digest(settings: api.Settings) -> bytes:
     return hashlib.blake2b(msgspec.json.encode(settings), digest_size=16).digest()
 
@@ -71,9 +80,13 @@
         raise Unfit(f"it is of life {state.life}, the last one was {life - 1}")
 
 
-def revive(engine: Engine, state: StewardState, steps: Iterable[Step], now: float) -> tuple[int, list[int]]:
+def revive(
+    engine: Engine, state: StewardState, steps: Iterable[Step], now: float, gone: bool = True
+) -> tuple[int, list[int]]:
     """Puts a new life's engine where the last one was. (steps replayed, slices told anew from the store).
 
+    gone: forwarders have lost their links; false where these were handed over.
+
     Raises `Unfit`; the engine is untouched then.
     """
     try:
@@ -107,7 +120,7 @@
     for h in module.hosts.values():
         if h.probing:  # that probe died with the last life, and says nothing
             engine.event(now, api.ProbeDone(h.id, api.ProbeEnd.FULL))
-    for proxy in module.proxies:
+    for proxy in module.proxies if gone else ():
         engine.event(now, api.ProxyLeft(proxy))
     # The store has the last word on tables: what differs, and what is new or gone, is told as ever.
     anew = []
--- /dev/null
+++ b/corallanding/upgrade/state.py
@@ -0,0 +1,173 @@
+"""All that a running steward hands to its successor, as values. Pure: between two steps, with nothing on its way.
+
+The module, what the channel holds, links with half a frame, unacked marks, sums not yet told, joins that wait. Times
+stand on the steward's clock, which goes on.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+import msgspec
+
+from .. import interface as api
+from ..channel.core import Channel, Message, Port
+from ..steward.engine import Engine
+from ..steward.gather import Tally
+from ..steward.joins import Habit, Joins
+from ..steward.record import pack, unpack
+from ..steward.revive import StewardState, Unfit, revive
+from ..wire.frames import Hello, Orders
+from ..wire.link import Link
+
+
+class LinkState(msgspec.Struct, array_like=True):
+    """One connection; its descriptor comes beside, in the same order."""
+
+    began: float
+    hello: Hello | None
+    joined: bool
+    paused: bool
+    heard: float
+    marks: list[tuple[int, float]]
+    recalled: bool
+    allowance: float
+    flow: float
+    counted: float
+    held: bytes  # the frame that has come in part
+    beat_at: float
+
+
+class MessageState(msgspec.Struct, array_like=True):
+    frame: bytes
+    lines: int
+    mark: int
+    at: float
+    orders: Orders | None
+
+
+class PortState(msgspec.Struct, array_like=True):
+    forwarder: int
+    urgent: list[int]  # messages by their place
+    plain: list[int]
+    turns: int
+    sent: list[float]
+    blocked: bool
+
+
+class ChannelState(msgspec.Struct):
+    messages: list[MessageState]
+    ports: list[PortState]
+    turns: tuple[list[int], list[int]]  # forwarders
+    free_at: float
+    most: float
+
+
+class Handed(msgspec.Struct):
+    state: StewardState
+    seq: int
+    counter: int
+    tables: list[tuple[int, list[tuple[int, float]]]]
+    unsaved: list[tuple[int, list[tuple[int, float]]]]
+    unsaved_resets: list[int]
+    inbox: list[tuple[float, int, Any]]
+    joined: list[tuple[int, int]]
+    going: list[int]
+    gather_at: float
+    tallies: list[tuple[str, int, int, float, int, int, float]]
+    sums: tuple[float, float]  # what the intake may still take, and since when
+    channel: ChannelState
+    links: list[LinkState]
+    habits: list[tuple[int, float, float]]
+    waiting: list[tuple[int, float, int]]  # forwarder, not before, order of coming
+    door: bool  # a second listening socket comes, the door's
+    version: int
+    entries: list[api.HostEntry]
+    addresses: dict[int, str]
+    starts: dict[int, float]
+    known: list[int]
+
+
+def channel_state(c: Channel) -> ChannelState:
+    messages: dict[Message, int] = {}
+    ports = []
+    for p in c.ports.values():
+        rows = [[messages.setdefault(m, len(messages)) for m in row] for row in (p.urgent, p.plain)]
+        ports.append(PortState(p.forwarder, rows[0], rows[1], p.turns, list(p.sent), p.blocked))
+    turns = tuple([p.forwarder for p in row if c.ports.get(p.forwarder) is p] for row in c.turns)
+    return ChannelState(
+        [MessageState(m.frame, m.lines, m.mark, m.at, m.orders) for m in messages], ports, (turns[0], turns[1]),
+        c.free_at, c.most,
+    )  # fmt: skip
+
+
+def put_channel(c: Channel, s: ChannelState) -> None:
+    """Into a channel that is new. What had its turn and waited for a socket or the cap is looked at at once."""
+    messages = [Message(m.frame, m.lines, m.mark, m.at, m.orders) for m in s.messages]
+    c.ports, c.ready = {}, deque()
+    for row in s.ports:
+        p = Port(row.forwarder, deque(messages[n] for n in row.urgent), deque(messages[n] for n in row.plain))
+        p.turns, p.sent, p.blocked = row.turns, deque(row.sent), row.blocked
+        for m in (*p.urgent, *p.plain):
+            m.left += 1
+            p.lines += c.cost(m)
+        c.ports[p.forwarder] = p
+        if p.turns and not p.blocked:
+            c.ready.append(p)
+    c.waiting = sum(p.lines for p in c.ports.values())
+    c.turns = (deque(c.ports[f] for f in s.turns[0]), deque(c.ports[f] for f in s.turns[1]))
+    c.free_at, c.most = s.free_at, s.most
+
+
+def link_state(k: Link, joined: bool, paused: bool, beat_at: float) -> LinkState:
+    return LinkState(
+        k.now, k.hello, joined, paused, k.heard, list(k.marks), k.recalled, k.allowance, k.flow, k.counted,
+        bytes(k.reader.held), beat_at,
+    )  # fmt: skip
+
+
+def put_link(k: Link, s: LinkState) -> None:
+    k.now, k.hello, k.heard, k.marks = s.began, s.hello, s.heard, deque((m, at) for m, at in s.marks)
+    k.recalled, k.allowance, k.flow, k.counted = s.recalled, s.allowance, s.flow, s.counted
+    k.reader.held = bytearray(s.held)
+
+
+def hand(
+    e: Engine, state: StewardState, channel: Channel, links: list[LinkState], joins: Joins, door: bool,
+    roster: tuple[int, list[api.HostEntry], dict[int, str], dict[int, float], list[int]],
+) -> Handed:  # fmt: skip
+    g = e.gather
+    return Handed(
+        state, e.seq, e.counter, [(t, list(row.items())) for t, row in e.state.tables.items()],
+        [(t, list(row.items())) for t, row in e.unsaved.items()], sorted(e.unsaved_resets),
+        [(at, n, pack(x)) for at, n, x in e.inbox], list(e.joined.items()), sorted(e.going), e.gather_at,
+        [(*key, t.since, t.total, t.errored, t.weighed) for key, t in g.tallies.items()], (g.allowance, g.counted),
+        channel_state(channel), links, [(f, h.last, h.wait) for f, h in joins.habits.items()],
+        [(f, at, n) for at, n, f in sorted(joins.queue) if joins.waiting.get(f) == at], door, *roster,
+    )  # fmt: skip
+
+
+def take(e: Engine, h: Handed, channel: Channel, joins: Joins, now: float) -> None:
+    """Puts a new process's engine, channel and joins where the old one's were. Raises `Unfit`, nothing touched."""
+    stored = e.state.tables
+    e.state.tables = {t: dict(row) for t, row in h.tables}  # what is not kept yet, too
+    try:
+        revive(e, h.state, [], now, gone=False)
+    except Unfit:
+        e.state.tables = stored
+        raise
+    e.seq, e.counter = h.seq, h.counter + len(e.inbox) + len(e.timers)
+    e.state.points = {f: dict(rows) for f, rows in h.state.points}
+    e.unsaved, e.unsaved_resets = {t: dict(row) for t, row in h.unsaved}, set(h.unsaved_resets)
+    e.inbox = [(at, n, unpack(x)) for at, n, x in h.inbox] + e.inbox
+    e.joined, e.going, e.gather_at = dict(h.joined), set(h.going), h.gather_at
+    e.recall_until = now - 1.0  # established links hold what this process has
+    for what, a, b, since, total, errored, weighed in h.tallies:
+        e.gather.tallies[what, a, b] = Tally(since, total, errored, weighed)
+    e.gather.allowance, e.gather.counted = h.sums
+    put_channel(channel, h.channel)
+    joins.habits = {f: Habit(last, wait) for f, last, wait in h.habits}
+    joins.waiting = {f: at for f, at, _ in h.waiting}
+    joins.queue = sorted((at, n, f) for f, at, n in h.waiting)
+    joins.counter = max((n for _, _, n in h.waiting), default=0)
--- a/tests/test_revive.py
+++ b/tests/test_revive.py
@@ -20,9 +20,8 @@
 from corallanding.lab.trace import Trace
 from corallanding.snapshot import file
 from corallanding.steward import record
-from corallanding.steward.daemon import boot_id
 from corallanding.steward.engine import Engine
-from corallanding.steward.revive import StewardState, Unfit, capture, check, revive
+from corallanding.steward.revive import StewardState, Unfit, boot_id, capture, check, revive
 from corallanding.store.api import Life
 from corallanding.wire import frames
 
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,247 @@
+"""Whole stewards handed over on sockets: ten in a row, and a death or a standstill at every step of it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from sockets import CONFIG, until
+
+from corallanding.lab.roster import Roster
+from corallanding.lab.trace import Trace
+from corallanding.upgrade.core import Do
+from corallanding.wire import frames
+
+HOSTS, WITHIN = 6, 3_000
+
+
+class Forwarder:
+    """Dials, keeps its tables, acks, beats, dials again. Counts its links and the numbers of what came."""
+
+    def __init__(self, number: int, port: int) -> None:
+        self.number, self.port, self.tables = number, port, dict[int, set[int]]()
+        self.links = self.orders = 0
+        self.seqs: list[int] = []
+        self.over = False
+        self.later: bytes | None = None
+        self.task = asyncio.create_task(self.run())
+
+    async def run(self) -> None:
+        while not self.over:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            except OSError:
+                await asyncio.sleep(0.02)
+                continue
+            self.later = None
+            beats = asyncio.create_task(self.beat(writer))
+            try:
+                writer.write(frames.encode(frames.Hello(frames.VERSION, self.number, f"s{self.number}")))
+                frames_in = frames.Reader(frames.to_forwarder, 1 << 24)
+                while data := await reader.read(1 << 16):
+                    for f in frames_in.feed(data):
+                        self.told(f, writer)
+            except OSError:
+                pass
+            beats.cancel()
+            writer.close()
+            await asyncio.sleep(0.02)
+
+    async def beat(self, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            # A frame in two halves: one may stand in the old process's buffer when it hands over.
+            data = frames.encode(frames.Beat(1.0))
+            writer.write(data[:5])
+            self.later = b""
+            await asyncio.sleep(0.01)
+            writer.write(data[5:] + self.later)
+            self.later = None
+
+    def told(self, f: Any, writer: asyncio.StreamWriter) -> None:
+        if isinstance(f, frames.Tables):
+            self.links += not f.given
+            self.tables = {t: {h for h, _ in rows} for t, rows in f.tables}
+            self.seqs = [f.seq]
+        elif isinstance(f, frames.Orders):
+            self.orders += 1
+            assert f.seq >= self.seqs[-1], "an order of an older number"
+            self.seqs.append(f.seq)
+            for t, h, w in f.lines:
+                (self.tables.setdefault(t, set()).add if w > 0 else self.tables[t].discard)(h)
+            if f.mark >= 0:
+                ack = frames.encode(frames.Ack(f.mark))
+                if self.later is None:
+                    writer.write(ack)
+                else:
+                    self.later += ack  # not into the middle of a beat
+
+    def names(self, host: int) -> bool:
+        return any(host in row for row in self.tables.values())
+
+
+class Scene:
+    """A roster, a steward's process, two forwarders."""
+
+    def __init__(self, folder: Path, halt: str = "") -> None:
+        self.folder, self.halt = folder, halt
+
+    async def __aenter__(self) -> Scene:
+        self.roster = Roster(Trace())
+        await self.roster.start()
+        for h in range(HOSTS):
+            self.roster.rows[h] = {"host": h, "state": "up", "address": f"127.0.0.1:{22000 + h}", "started": 0.0}
+        self.roster.changed()
+        text = CONFIG % (self.folder / "s.db")
+        text = text.replace('address = "127.0.0.1:1"', f'address = "127.0.0.1:{self.roster.port}"')
+        control = f'  control = "{self.folder}/c"\n  upgrade_within_ms = {WITHIN}\n'
+        text = text.replace("steward {\n", "steward {\n" + control).replace("silence_ms = 600", "silence_ms = 3000")
+        text = text.replace('level = "error"', 'level = "info"\n  format = "json"') + "probe {\n  allowed = false\n}\n"
+        self.path, self.log = self.folder / "s.hcl", self.folder / "log"
+        self.path.write_text(text)
+        with open(self.log, "wb") as out:
+            command = [sys.executable, "-m", "corallanding.cli.main", "steward", "--config", str(self.path)]
+            env = {**os.environ, "CORALLANDING_HALT": self.halt}
+            self.process = subprocess.Popen(command, stdout=out, stderr=out, start_new_session=True, env=env)
+        await until(lambda: self.words("ready"), 20)
+        listen = self.words("ready")[0]["listen"]
+        # The port was chosen by the kernel; its successor is to find the same one.
+        self.path.write_text(text.replace('listen = "127.0.0.1:0"', f'listen = "127.0.0.1:{listen[0][1]}"', 1))
+        self.forwarders = [Forwarder(n, listen[0][1]) for n in (1, 2)]
+        await until(lambda: all(len(f.tables) == 4 and all(f.tables.values()) for f in self.forwarders), 10)
+        return self
+
+    async def __aexit__(self, *why: object) -> None:
+        for f in self.forwarders:
+            f.over = True
+            f.task.cancel()
+        try:
+            os.killpg(self.process.pid, signal.SIGKILL)
+        except ProcessLookupError:
+            pass
+        self.process.wait()
+
+    def words(self, event: str) -> list[dict[str, Any]]:
+        raw = self.log.read_text().splitlines() if self.log.exists() else []
+        return [w for x in raw if x.startswith("{") and (w := json.loads(x))["event"] == event]
+
+    def running(self) -> int:
+        """Processes of this scene that live and do not stand still."""
+        count = 0
+        for name in os.listdir("/proc"):
+            if name.isdigit():
+                try:
+                    state, _, group = Path(f"/proc/{name}/stat").read_text().rpartition(")")[2].split()[:3]
+                except OSError:
+                    continue
+                count += int(group) == self.process.pid and state not in "ZTX"
+        return count
+
+    async def upgrade(self, *words: str) -> str:
+        try:
+            reader, writer = await asyncio.open_unix_connection(f"{self.folder}/c")
+            writer.write("\0".join(["upgrade", *words]).encode() + b"\n")
+            answer = await asyncio.wait_for(reader.readline(), 8.0)
+            writer.close()
+            return answer.decode().strip()
+        except (OSError, TimeoutError) as fault:
+            return f"nothing: {fault}"
+
+    async def drains(self, host: int, within: float = 8.0) -> None:
+        """A drain told now reaches every forwarder: somebody speaks."""
+        self.roster.put(host, state="draining")
+        await until(lambda: not any(f.names(host) for f in self.forwarders), within)
+
+
+def play(work: Any) -> None:
+    async def bounded() -> None:
+        async with asyncio.timeout(100):
+            await work
+
+    asyncio.run(bounded())
+
+
+def test_ten_upgrades_in_a_row_keep_every_link(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            for n in range(10):
+                assert await s.upgrade() == "ok: handed over"
+                await s.drains(n % HOSTS)
+                s.roster.put(n % HOSTS, state="up")
+            assert [f.links for f in s.forwarders] == [1, 1], "no link was ever joined anew"
+            await until(lambda: s.running() == 1)
+            assert len(s.words("handed over")) == 10 and len(s.words("ready")) == 11
+            assert [w["life"] for w in s.words("ready")] == list(range(1, 12))
+
+    play(scene())
+
+
+KILLS = ["old before pause", "old before send state", "old before close store", "old before send commit",
+         "old before exit", "new before send ready", "new before load", "new before send checked",
+         "new before open store", "new before run", "new before send taken"]  # fmt: skip
+
+
+def test_a_death_or_a_standstill_at_any_step_leaves_one_voice(tmp_path: Path) -> None:
+    """The kill-point table of docs/upgrade.md: every step, both sides, killed and stopped, side by side."""
+    rows: dict[str, str] = {}
+
+    async def one(halt: str, gate: asyncio.Semaphore) -> None:
+        folder = tmp_path / halt.replace(":", "-").replace(" ", "-")
+        folder.mkdir()
+        async with gate, Scene(folder, halt) as s:
+            answer = await s.upgrade()
+            await s.drains(1)
+            await s.drains(2)
+            await until(lambda: s.running() == 1, 8.0)
+            links = max(f.links for f in s.forwarders)
+            rows[halt] = f"{answer.split(':')[0] or 'cut off'}; links joined anew: {links - 1}"
+
+    async def all_of_them() -> None:
+        gate = asyncio.Semaphore(6)
+        await asyncio.gather(*(one(f"{how}:{point}", gate) for how in ("kill", "stop") for point in KILLS))
+
+    play(all_of_them())
+    assert len(rows) == 2 * len(KILLS)
+    for halt, what in sorted(rows.items()):
+        print(f"| {halt} | {what} |")
+    # A new process that dies or stands still before it was told to speak costs nothing at all.
+    quiet = [p for p in KILLS if p.startswith("new") and p not in ("new before run", "new before send taken")]
+    assert all(rows[f"{how}:{p}"] == "failed; links joined anew: 0" for how in ("kill", "stop") for p in quiet)
+    assert {p.split(" before ")[1] for p in KILLS} <= {d.value for d in Do}
+
+
+@pytest.mark.parametrize("fault", ["configuration", "program", "settings"])
+def test_a_new_process_that_cannot_be_leaves_the_old_one_at_work(tmp_path: Path, fault: str) -> None:
+    async def scene() -> None:
+        async with Scene(tmp_path) as s:
+            good = s.path.read_text()
+            if fault == "configuration":
+                s.path.write_text(good + "nonsense {\n}\n")
+                answer = await s.upgrade()
+            elif fault == "program":
+                answer = await s.upgrade(sys.executable, "-c", "import sys; sys.exit(9)")
+            else:
+                # Not a fault: other settings share no state. The listeners go over, forwarders join anew.
+                s.path.write_text(good.replace("every_ms", "every_ms") + "reports {\n  every_ms = 700\n}\n")
+                answer = await s.upgrade()
+            if fault == "settings":
+                assert answer == "ok: handed over" and s.words("state not used; forwarders will join anew")
+                await until(lambda: all(f.links == 2 for f in s.forwarders))
+            else:
+                assert answer.startswith("failed: the new process ended")
+                assert [f.links for f in s.forwarders] == [1, 1]
+            await s.drains(1)
+            s.path.write_text(good)
+            if fault != "settings":
+                assert await s.upgrade() == "ok: handed over"
+                await s.drains(2)
+                assert [f.links for f in s.forwarders] == [1, 1]
+
+    play(scene())
