--- a/corallanding/lab/faults.py
+++ b/corallanding/lab/faults.py
@@ -244,6 +244,13 @@
         await self.wait(f)
         await self.lab.start_steward(which)
 
+    async def upgrade(self, f: Fault) -> None:
+        """size handovers to a new process, spread evenly over the time."""
+        for k in range(max(1, round(f.size))):
+            if k:
+                await asyncio.sleep(f.for_s / f.size)
+            await self.lab.upgrade_steward()
+
     async def store_down(self, f: Fault) -> None:
         """The store's file cannot be written: another process holds its write lock for the time."""
         await self.lab.hold_store(f.for_s)
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -150,6 +150,7 @@
         self.writing: asyncio.Task[None] | None = None
         self.working_ahead = self.strained = self.paused = self.giving = self.handed_over = False
         self.control: asyncio.Server | None = None
+        self.successor = 0  # the process that took over
         self.steps_log: Recorder | None = None
         self.log_number = 0
         self.state_task: asyncio.Task[None] | None = None
@@ -308,7 +309,9 @@
         try:
             command = command or command_of(str(self.path))
             log.info("handing over", command=" ".join(command))
-            why = await Giver(self, command, self.config.steward.upgrade_within_ms).run()
+            giver = Giver(self, command, self.config.steward.upgrade_within_ms)
+            why = await giver.run()
+            self.successor = giver.process.pid if giver.process else 0
         finally:
             self.giving = False
         if why:
@@ -333,7 +336,7 @@
                 answer = f"failed: {words[0].strip()[:40]!r} is not known here"
             else:
                 why = await self.upgrade([w.strip() for w in words[1:]] or None)
-                answer = f"failed: {why}" if why else "ok: handed over"
+                answer = f"failed: {why}" if why else f"ok: handed over to process {self.successor}"
             writer.write(answer.encode() + b"\n")
             await writer.drain()
         except (OSError, TimeoutError):
