--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -150,6 +150,7 @@
         self.writing: asyncio.Task[None] | None = None
         self.working_ahead = self.strained = self.paused = self.giving = self.handed_over = False
         self.control: asyncio.Server | None = None
+        self.paused_at = 0.0
         self.successor = 0  # the process that took over
         self.steps_log: Recorder | None = None
         self.log_number = 0
@@ -270,7 +271,7 @@
 
     async def pause(self) -> None:
         """Say nothing and hear nothing from here on; what was written has left, or its link ends."""
-        self.paused = True
+        self.paused, self.paused_at = True, self.clock()
         for handle in (self.timer, self.pump_timer, self.admitting):
             if handle:
                 handle.cancel()
@@ -317,7 +318,8 @@
         if why:
             log.error("handover came to nothing; this process carries on", why=why)
         else:
-            log.info("handed over", ms=round(self.clock() - begun))
+            now = self.clock()
+            log.info("handed over", ms=round(now - begun), silent_ms=round(now - self.paused_at, 1))
         return why
 
     async def open_control(self, path: str) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -172,7 +172,12 @@
     async def scene() -> None:
         async with Scene(tmp_path) as s:
             for n in range(10):
-                assert (await s.upgrade()).startswith("ok: handed over")
+                if n:
+                    assert (await s.upgrade()).startswith("ok: handed over")
+                else:
+                    command = ["-m", "corallanding.cli.main", "upgrade", "--config", str(s.path)]
+                    cli = await asyncio.create_subprocess_exec(sys.executable, *command, stdout=subprocess.PIPE)
+                    assert (await cli.communicate())[0].startswith(b"ok: handed over to process ")
                 await s.drains(n % HOSTS)
                 s.roster.put(n % HOSTS, state="up")
             assert [f.links for f in s.forwarders] == [1, 1], "no link was ever joined anew"
@@ -217,6 +222,13 @@
     assert {p.split(" before ")[1] for p in KILLS} <= {d.value for d in Do}
 
 
+def test_without_a_control_socket_the_command_says_so(tmp_path: Path) -> None:
+    (tmp_path / "s.hcl").write_text(CONFIG % (tmp_path / "s.db"))
+    command = [sys.executable, "-m", "corallanding.cli.main", "upgrade", "--config", str(tmp_path / "s.hcl")]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    assert done.returncode == 2 and "steward.control is not set" in done.stderr
+
+
 @pytest.mark.parametrize("fault", ["configuration", "program", "settings"])
 def test_a_new_process_that_cannot_be_leaves_the_old_one_at_work(tmp_path: Path, fault: str) -> None:
     async def scene() -> None:
