Several stewards upgraded in a row; the pace of joins goes over; state compared at any step

A test hands over engine, channel, joins and links at ten moments of a busy time and compares all that is said after with the steward that went on: it found that the pace of joins began anew, which it does not any more. The command takes several configurations and stops at the first steward that is refused or not well.

--- a/corallanding/cli/main.py
+++ b/corallanding/cli/main.py
@@ -44,37 +44,37 @@
 
 @app.command()
 def upgrade(
-    config: Annotated[Path, typer.Option("--config", help="the running steward's configuration")],
+    config: Annotated[
+        list[Path], typer.Option("--config", help="the running steward's configuration; several, one after the other")
+    ],
     command: Annotated[
         Optional[str],  # noqa: UP045
         typer.Option("--command", help="the new program and its arguments; without it, the program that runs now"),
     ] = None,
 ) -> None:
-    """Hand a running steward over to a new process: listeners, links and state, with no invocation lost."""
-    import shlex
-    import socket
+    """Hand running stewards over to new processes: listeners, links and state, with no invocation lost.
 
+    Goes on to the next only once the last answers that it is well.
+    """
     from ..config import ConfigFault, load_steward
+    from .ask import Refused, hand_over, well
 
     try:
-        found = load_steward(config)
+        found = [(path, load_steward(path)) for path in config]
     except ConfigFault as fault:
         raise fail(fault) from None
-    path = found.steward.control
-    if not path:
-        raise fail(f"{config}: steward.control is not set: there is no way to the running steward")
-    with socket.socket(socket.AF_UNIX) as sock:
-        sock.settimeout(found.steward.upgrade_within_ms * 6 / 1000.0)
+    for path, one in found:
+        if not one.steward.control:
+            raise fail(f"{path}: steward.control is not set: there is no way to the running steward")
+    for k, (path, one) in enumerate(found):
         try:
-            sock.connect(path)
-            words = ["upgrade", *shlex.split(command or "")]
-            sock.sendall("\0".join(words).encode() + b"\n")
-            answer = sock.makefile().readline().strip()
-        except OSError as fault:
-            raise fail(f"{path}: {fault}", 1) from None
-    if not answer.startswith("ok"):
-        raise fail(answer or "the steward ended without an answer", 1)
-    print(answer)
+            answer = hand_over(one, command)
+            well(one)
+        except Refused as fault:
+            left = [str(p) for p, _ in found[k + 1 :]]
+            rest = f"; not touched: {', '.join(left)}" if left else ""
+            raise fail(f"{path}: {fault}{rest}", 1) from None
+        print(f"{path}: {answer}" if len(found) > 1 else answer)
 
 
 @app.command()
--- a/corallanding/upgrade/state.py
+++ b/corallanding/upgrade/state.py
@@ -81,6 +81,7 @@
     links: list[LinkState]
     habits: list[tuple[int, float, float]]
     waiting: list[tuple[int, float, int]]  # forwarder, not before, order of coming
+    pace: tuple[float, float]  # of joins: what may still go, and since when
     door: bool  # a second listening socket comes, the door's
     version: int
     entries: list[api.HostEntry]
@@ -144,7 +145,8 @@
         [(at, n, pack(x)) for at, n, x in e.inbox], list(e.joined.items()), sorted(e.going), e.gather_at,
         [(*key, t.since, t.total, t.errored, t.weighed) for key, t in g.tallies.items()], (g.allowance, g.counted),
         channel_state(channel), links, [(f, h.last, h.wait) for f, h in joins.habits.items()],
-        [(f, at, n) for at, n, f in sorted(joins.queue) if joins.waiting.get(f) == at], door, *roster,
+        [(f, at, n) for at, n, f in sorted(joins.queue) if joins.waiting.get(f) == at],
+        (joins.allowance, joins.counted), door, *roster,
     )  # fmt: skip
 
 
@@ -170,4 +172,5 @@
     joins.habits = {f: Habit(last, wait) for f, last, wait in h.habits}
     joins.waiting = {f: at for f, at, _ in h.waiting}
     joins.queue = sorted((at, n, f) for f, at, n in h.waiting)
+    joins.allowance, joins.counted = h.pace
     joins.counter = max((n for _, _, n in h.waiting), default=0)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -112,8 +112,10 @@
             self.process = subprocess.Popen(command, stdout=out, stderr=out, start_new_session=True, env=env)
         await until(lambda: self.words("ready"), 20)
         listen = self.words("ready")[0]["listen"]
-        # The port was chosen by the kernel; its successor is to find the same one.
-        self.path.write_text(text.replace('listen = "127.0.0.1:0"', f'listen = "127.0.0.1:{listen[0][1]}"', 1))
+        # The ports were chosen by the kernel; its successor is to find the same ones.
+        for _, port in listen:
+            text = text.replace('listen = "127.0.0.1:0"', f'listen = "127.0.0.1:{port}"', 1)
+        self.path.write_text(text)
         self.forwarders = [Forwarder(n, listen[0][1]) for n in (1, 2)]
         await until(lambda: all(len(f.tables) == 4 and all(f.tables.values()) for f in self.forwarders), 10)
         return self
@@ -222,6 +224,31 @@
     assert {p.split(" before ")[1] for p in KILLS} <= {d.value for d in Do}
 
 
+def test_several_go_one_after_the_other_and_stop_at_the_first_that_is_not_well(tmp_path: Path) -> None:
+    async def scene() -> None:
+        for name in ("a", "b", "c"):
+            (tmp_path / name).mkdir()
+        async with Scene(tmp_path / "a") as a, Scene(tmp_path / "b") as b, Scene(tmp_path / "c") as c:
+            base = [sys.executable, "-m", "corallanding.cli.main", "upgrade"]
+
+            async def cli(*scenes: Scene) -> tuple[int, str]:
+                words = [w for s in scenes for w in ("--config", str(s.path))]
+                p = await asyncio.create_subprocess_exec(
+                    *base, *words, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+                )
+                out = (await p.communicate())[0].decode()
+                return p.returncode or 0, out
+
+            code, out = await cli(a, b)
+            assert code == 0 and out.count("ok: handed over") == 2, out
+            (b.folder / "c").unlink()  # there is no way to b any more
+            code, out = await cli(a, b, c)
+            assert code == 1 and out.count("ok: handed over") == 1 and f"not touched: {c.path}" in out, out
+            assert len(c.words("ready")) == 1 and len(a.words("ready")) == 3
+
+    play(scene())
+
+
 def test_without_a_control_socket_the_command_says_so(tmp_path: Path) -> None:
     (tmp_path / "s.hcl").write_text(CONFIG % (tmp_path / "s.db"))
     command = [sys.executable, "-m", "corallanding.cli.main", "upgrade", "--config", str(tmp_path / "s.hcl")]
--- /dev/null
+++ b/tests/test_upgrade_state.py
@@ -0,0 +1,123 @@
+"""What is handed over goes on as if nothing had been: engine, channel, joins and links, at any step of a busy time."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from corallanding import interface as api
+from corallanding.balance import Assigner
+from corallanding.channel import Channel, Limits
+from corallanding.snapshot import file
+from corallanding.steward.engine import Engine, Send
+from corallanding.steward.joins import Joins
+from corallanding.steward.revive import Unfit, capture
+from corallanding.store.api import Life
+from corallanding.upgrade.state import Handed, hand, link_state, put_link, take
+from corallanding.wire import frames
+from corallanding.wire.link import Limits as LinkLimits
+from corallanding.wire.link import Link
+
+OP = api.Operation("quote", api.Repeat.IDEMPOTENT, "all", 5000, 3, 0.1, 1200, 3000)
+SETTINGS = api.Settings(operations=(OP,), slices=12, queue_most=900.0, channel_rate=400.0, may_probe=True, proxies=4,
+                        messages_most=14, messages_span=4000.0)  # fmt: skip
+LIMITS = Limits(400.0, 8.0, 900.0, 14, 4000.0)
+ADDRESSES = {h: f"127.0.0.1:{9000 + h}" for h in range(6)}
+
+
+class Steward:
+    """An engine and what is around it, without sockets; the world's part is drawn by a seed that both sides share."""
+
+    def __init__(self, life: int, tables: dict[int, dict[int, float]] | None = None) -> None:
+        self.engine = Engine(SETTINGS, 3, Life(life, tables=tables or {}), range(12), dict(ADDRESSES), Assigner)
+        self.channel, self.joins = Channel(LIMITS), Joins(20.0, 300.0, 2000.0, 1e9)
+        self.log: list[Any] = []
+
+    def join(self, now: float, f: int) -> None:
+        self.channel.join(f)
+        self.log.append((f, "tables", self.engine.join(now, frames.Hello(1, f, f"{f}"))))
+
+    def turn(self, now: float, r: random.Random) -> None:
+        e = self.engine
+        for f in range(4):
+            if r.random() < 0.05:
+                self.joins.ask(now, f)
+            if r.random() < 0.1:
+                self.channel.block(f, r.random() < 0.5)
+        for f in self.joins.due(now):
+            self.join(now, f)
+        if r.random() < 0.15:
+            h, state = r.randrange(6), r.choice(("draining", "up"))
+            e.event(now, api.Membership(api.ListForm.CHANGES, int(now), (api.HostEntry(h, state=state),)))
+        if r.random() < 0.5:
+            f = r.randrange(4)
+            hosts = [(h, 9, r.choice((0, 0, 9)), 300.0) for h in range(6)]
+            e.sums(now, f, frames.Sums(1000.0, hosts, [(s, 0, r.randrange(20), 0) for s in range(12)]))
+        if r.random() < 0.4:
+            e.event(now, api.Acked(r.randrange(4), r.randrange(3) + getattr(e.module, "mark", 0) - 2, 5.0))
+        e.decide(now)
+        for out in e.publish(r.random() < 0.9):
+            if isinstance(out, Send):
+                self.channel.submit(now, out.frame, out.lines, out.mark, out.to, out.orders, out.urgent)
+            else:
+                self.log.append(out)
+        for f, m in self.channel.due(now):
+            self.log.append((f, m.mark, m.frame))
+
+    def handed(self) -> Handed:
+        state = capture(self.engine, 0, "boot", 5.0, {}, 1)
+        assert state
+        roster = (1, list[api.HostEntry](), dict(ADDRESSES), dict[int, float](), [1])
+        return file.unpack(file.pack(hand(self.engine, state, self.channel, [], self.joins, True, roster)), Handed)
+
+
+@pytest.mark.parametrize("at", [5, 17, 40, 41, 42, 43, 44, 45, 80, 119])
+def test_a_steward_handed_over_at_any_step_says_what_the_old_one_would_have(at: int) -> None:
+    one, now, r = Steward(1), 1e9, random.Random(at)
+    one.engine.begin(now, api.Membership(api.ListForm.FULL, 1, tuple(api.HostEntry(h) for h in range(6))))
+    for f in range(4):
+        one.join(now, f)
+    waits = held = False
+    for step in range(160):
+        now += r.choice((60.0, 125.0, 300.0))
+        if step == at:
+            # What the store has may lag behind: the state has the tables, and what is still to be kept.
+            two = Steward(2, {0: {5: 1.0}})
+            take(two.engine, one.handed(), two.channel, two.joins, now)
+            two.engine.inbox = [x for x in two.engine.inbox if not isinstance(x[2], api.ProbeDone)]
+            one.log = []
+            waits, held = one.channel.waiting > 0, any(one.engine.module.proxies.values())  # type: ignore[attr-defined]
+        if step >= at:
+            two.turn(now, random.Random(f"{at}:{step}"))
+        one.turn(now, random.Random(f"{at}:{step}"))
+    assert one.log == two.log and len(one.log) > 20
+    assert one.channel.waiting == two.channel.waiting and one.engine.state == two.engine.state
+    assert waits or held or at < 20, "nothing was on its way: no test"
+
+
+def test_state_that_does_not_fit_leaves_the_new_engine_as_it_was() -> None:
+    one = Steward(1)
+    one.engine.begin(1e9, api.Membership(api.ListForm.FULL, 1, (api.HostEntry(1),)))
+    one.turn(1e9 + 100.0, random.Random(1))
+    h = one.handed()
+    h.state.module.slice_fields.append("mood")
+    two = Steward(2, {0: {5: 1.0}})
+    with pytest.raises(Unfit, match="mood"):
+        take(two.engine, h, two.channel, two.joins, 1e9 + 200.0)
+    assert two.engine.state.tables == {0: {5: 1.0}} and not two.engine.inbox
+
+
+def test_a_link_goes_over_with_half_a_frame_and_marks_that_are_out() -> None:
+    old, new = Link(LinkLimits(), 0.0), Link(LinkLimits(), 50.0)
+    data = frames.encode(frames.Hello(1, 7, "s")) + frames.encode(frames.Ack(4)) + frames.encode(frames.Ack(5))
+    old.receive(1.0, data[:-3][: len(frames.encode(frames.Hello(1, 7, "s")))])
+    old.marked(2.0, 4)
+    old.marked(3.0, 5)
+    cut = len(frames.encode(frames.Hello(1, 7, "s"))) + 2
+    assert old.receive(4.0, data[cut - 2 : cut]) == []
+    put_link(new, file.unpack(file.pack(link_state(old, True, False, 9.0)), type(link_state(old, True, False, 9.0))))
+    got = new.receive(5.0, data[cut:])
+    assert [f.number for f in got if isinstance(f, frames.Ack)] == [4, 5] and not new.marks
+    assert [m for m, _ in new.acks] == [4, 5] and new.hello and new.hello.forwarder == 7
