--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -53,6 +53,7 @@
 from .overload import Limits as OverloadLimits
 from .record import Recorder, RecordFault
 from .revive import Step, StewardState, Unfit, boot_id, capture, check, revive
+from .starts import CALM, Starts, advise
 
 if TYPE_CHECKING:
     from ..registry.keeper import Keeper
@@ -151,6 +152,7 @@
         self.working_ahead = self.strained = self.paused = self.giving = self.handed_over = False
         self.control: asyncio.Server | None = None
         self.paused_at = 0.0
+        self.trust_snapshot = True
         self.successor = 0  # the process that took over
         self.steps_log: Recorder | None = None
         self.log_number = 0
@@ -323,8 +325,11 @@
         return why
 
     async def open_control(self, path: str) -> None:
-        """The socket that `corallanding upgrade` speaks to: this user's only."""
-        Path(path).unlink(missing_ok=True)
+        """The socket that `corallanding upgrade` speaks to: this user's only. Raises OSError."""
+        if Path(path).is_socket():
+            Path(path).unlink()  # of the process before this one
+        elif Path(path).exists():
+            raise OSError(f"steward.control: {path} is there, and is no socket")
         self.control = await asyncio.start_unix_server(self.controlled, path)
         os.chmod(path, 0o600)
 
@@ -351,6 +356,9 @@
         path = self.config.store.snapshot_path
         if not path:
             return None
+        if not self.trust_snapshot:
+            log.warning("snapshot not used; the tables alone are", why="the last starts ended in deaths soon after")
+            return None
         try:
             state = snapshots.read(path, StewardState)
             check(state, self.config.steward.number, self.settings, boot_id(), life)
@@ -1028,8 +1036,16 @@
     config = load_steward(path)
     configure(config.log.format, config.log.level)
     steward = Steward(config, decider, record, path)
+    starts, loop = Starts(f"{config.store.path}.starts"), asyncio.get_running_loop()
     try:
         if take_over is None:
+            wall, before = time.time() * 1000.0, starts.read()
+            advice = advise(before, wall)
+            starts.keep([*before[-advice.count :], wall] if advice.count else [wall])
+            steward.trust_snapshot = advice.trust
+            if advice.wait:
+                log.error("crash loop: waiting before the next try", deaths=advice.count, wait_ms=advice.wait)
+                await asyncio.sleep(advice.wait / 1000.0)
             await steward.start()
         else:
             pipe = Pipe(socket.socket(fileno=take_over))
@@ -1042,13 +1058,17 @@
     except OSError as fault:
         log.error("cannot start", why=str(fault))
         return 5
-    loop, retiring = asyncio.get_running_loop(), list[asyncio.Task[None]]()
+    calm = loop.call_later(CALM / 1000.0, starts.keep, [])
+    retiring = list[asyncio.Task[None]]()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, lambda: retiring.append(loop.create_task(steward.retire())))
     loop.add_signal_handler(signal.SIGHUP, steward.reload)
     loop.add_signal_handler(signal.SIGUSR2, lambda: retiring.append(loop.create_task(steward.upgrade())))  # type: ignore[arg-type]
     assert steward.stopped is not None
     code = await steward.stopped
+    calm.cancel()
+    if code == 0:
+        starts.keep([])
     await asyncio.sleep(0.05)  # last words of the links
     if steward.handed_over:
         # The sockets are another process's now: nothing here may say goodbye on them.
--- a/tests/test_revive.py
+++ b/tests/test_revive.py
@@ -22,6 +22,7 @@
 from corallanding.steward import record
 from corallanding.steward.engine import Engine
 from corallanding.steward.revive import StewardState, Unfit, boot_id, capture, check, revive
+from corallanding.steward.starts import Advice, Starts, advise
 from corallanding.store.api import Life
 from corallanding.wire import frames
 
@@ -157,6 +158,63 @@
             assert revive(Rig(2, lines(one.engine)).engine, state, steps, one.now)[0] == len(steps)
 
 
+# ---- crash loops -----------------------------------------------------------------------------------------------
+
+
+def test_starts_soon_after_one_another_wait_ever_longer_and_leave_the_snapshot_alone() -> None:
+    now, before, seen = 1e12, list[float](), []
+    for _ in range(9):
+        advice = advise(before, now)
+        seen.append((advice.count, advice.wait, advice.trust))
+        before.append(now)
+        now += advice.wait + 500.0
+    assert seen == [
+        (0, 0.0, True), (1, 0.0, True), (2, 0.0, True), (3, 1000.0, False), (4, 2000.0, False), (5, 4000.0, False),
+        (6, 8000.0, False), (7, 16000.0, False), (8, 30000.0, False),
+    ]  # fmt: skip
+    assert advise(before, now + 61_000.0) == Advice(0, 0.0, True), "after a calm minute it is a start as any"
+    assert advise([now + 1e6], now) == Advice(0, 0.0, True), "a clock that went back"
+
+
+def test_the_file_of_starts_may_be_damaged_or_not_be_writable(tmp_path: Path) -> None:
+    starts = Starts(str(tmp_path / "x.starts"))
+    assert starts.read() == []
+    starts.keep([1.0, 2.0])
+    assert starts.read() == [1.0, 2.0]
+    (tmp_path / "x.starts").write_text("{nonsense")
+    assert starts.read() == []
+    Starts(str(tmp_path / "no" / "x.starts")).keep([1.0])
+
+
+def test_a_crash_loop_is_backed_off_and_seen(tmp_path: Path) -> None:
+    path, log = tmp_path / "s.hcl", tmp_path / "log"
+    text = (CONFIG % (tmp_path / "s.db")).replace('level = "error"', 'level = "info"\n  format = "json"')
+    path.write_text(text)
+    command = [sys.executable, "-m", "corallanding.cli.main", "steward", "--config", str(path)]
+
+    async def life(wanted: str) -> dict[str, Any]:
+        log.write_bytes(b"")
+        with open(log, "ab") as out:
+            p = subprocess.Popen(command, stdout=out, stderr=out)
+
+        def words() -> list[dict[str, Any]]:
+            return [json.loads(x) for x in log.read_text().splitlines() if x.startswith("{")]
+
+        try:
+            await until(lambda: any(wanted in w["event"] for w in words()), 15)
+            return next(w for w in words() if wanted in w["event"])
+        finally:
+            p.kill()
+            p.wait()
+
+    async def scene() -> None:
+        for _ in range(3):
+            await life("ready")
+        assert (await life("crash loop"))["deaths"] == 3
+
+    asyncio.run(scene())
+
+
 # ---- the whole steward -----------------------------------------------------------------------------------------
 
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -224,6 +224,16 @@
     assert {p.split(" before ")[1] for p in KILLS} <= {d.value for d in Do}
 
 
+def test_a_control_path_that_is_a_file_is_refused_and_the_file_stands(tmp_path: Path) -> None:
+    (tmp_path / "c").write_text("precious")
+    text = (CONFIG % (tmp_path / "s.db")).replace("steward {\n", f'steward {{\n  control = "{tmp_path}/c"\n')
+    (tmp_path / "s.hcl").write_text(text)
+    command = [sys.executable, "-m", "corallanding.cli.main", "steward", "--config", str(tmp_path / "s.hcl")]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    assert done.returncode == 5 and "is no socket" in done.stdout + done.stderr
+    assert (tmp_path / "c").read_text() == "precious"
+
+
 def test_several_go_one_after_the_other_and_stop_at_the_first_that_is_not_well(tmp_path: Path) -> None:
     async def scene() -> None:
         for name in ("a", "b", "c"):
