An old process that speaks again after the new one had begun reads the store and all tables anew

Found by the kill points under load: the new process died between its first words and 'taken', the old one went on with numbers and tables that forwarders and store had moved past. It now takes the store's tables, numbers above, and gives all joined forwarders their tables again.

--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -290,9 +290,13 @@
         for link in full:
             link.end("not-reading", "")
 
-    def resume(self) -> None:
-        """Nothing came of the handover: all goes on."""
+    def resume(self, anew: bool = False) -> None:
+        """Nothing came of the handover: all goes on. anew: forwarders may have heard another; all read again."""
         self.paused = False
+        if anew:
+            for link in [x for x in self.links if x.joined and not x.over]:
+                link.joined = False
+                self.join(link)
         self.listener.hold(False)
         for link in list(self.links):
             if link.transport and not link.over:
--- a/corallanding/steward/engine.py
+++ b/corallanding/steward/engine.py
@@ -393,6 +393,17 @@
         cost = len(resets) + len(lines) + len(levels) + len(cordons) + len(points) + len(withdrawn)
         return Send(frames.encode(frame), cost + (mark >= 0), mark, to, frame, urgent(lines, cordons, self.going))
 
+    def reconcile(self, now: float, life: Life) -> None:
+        """Another process wrote the store meanwhile: what it kept is the truth, and numbers go on above its own."""
+        self.seq = max(self.seq, life.seq) + 1_000
+        self.unsaved, self.unsaved_resets, self.snapshot = {}, set(), None
+        for slice in sorted(self.charge):
+            kept = life.tables.get(slice, {})
+            if kept != self.state.tables.get(slice, {}):
+                self.event(now, api.SliceGiven(slice, False))
+                self.state.tables[slice] = dict(kept)
+                self.given(now, slice)
+
     def readdress(self, hosts: Sequence[int]) -> None:
         """Hosts answer elsewhere now: one line for each that a table names."""
         named = {h for lines in self.state.tables.values() for h in lines}
--- a/corallanding/steward/handover.py
+++ b/corallanding/steward/handover.py
@@ -169,9 +169,16 @@
                     self.arbiter.drop()
                 case Do.RESUME:
                     if self.closed:
-                        self.s.engine.life.number = self.s.store.open().number
-                        self.closed = False
-                    self.s.resume()
+                        life, self.closed = self.s.store.open(), False
+                        spoke = life.number != self.s.engine.life.number + 1
+                        self.s.engine.life.number = life.number
+                        if spoke:
+                            # The new one had the store, and may have sent and kept orders before it was ended.
+                            log.warning("the new process had begun to speak; tables are read again", life=life.number)
+                            self.s.engine.reconcile(self.s.clock(), life)
+                        self.s.resume(spoke)
+                    else:
+                        self.s.resume()
                 case Do.EXIT:
                     self.s.handed_over = True
                     if self.s.stopped and not self.s.stopped.done():
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -31,6 +31,7 @@
         self.seqs: list[int] = []
         self.over = False
         self.later: bytes | None = None
+        self.wrong = ""
         self.task = asyncio.create_task(self.run())
 
     async def run(self) -> None:
@@ -50,6 +51,9 @@
                         self.told(f, writer)
             except OSError:
                 pass
+            except AssertionError as fault:
+                self.wrong = str(fault)
+                raise
             beats.cancel()
             writer.close()
             await asyncio.sleep(0.02)
@@ -159,7 +163,10 @@
     async def drains(self, host: int, within: float = 8.0) -> None:
         """A drain told now reaches every forwarder: somebody speaks."""
         self.roster.put(host, state="draining")
-        await until(lambda: not any(f.names(host) for f in self.forwarders), within)
+        try:
+            await until(lambda: not any(f.names(host) for f in self.forwarders), within)
+        except TimeoutError:
+            raise AssertionError(f"{self.halt}: {[(f.wrong, f.tables, f.seqs) for f in self.forwarders]}") from None
 
 
 def play(work: Any) -> None:
