--- a/corallanding/steward/handover.py
+++ b/corallanding/steward/handover.py
@@ -266,6 +266,8 @@
                         self.fds = await loop.run_in_executor(None, self.pipe.receive, int(count))
                     todo = self.core.heard(self.now(), word)
                 except Gone:
+                    # Its end of the pipe closes before its lock on the store does.
+                    await self.gone(old)
                     todo = self.core.lost(self.now())
                 hearing = None
 
@@ -310,16 +312,26 @@
 
     async def end(self, process: int) -> None:
         """SIGKILL, and wait until it is surely gone."""
-        handle = os.pidfd_open(process)
         try:
-            signal.pidfd_send_signal(handle, signal.SIGKILL)
-            loop, gone = asyncio.get_running_loop(), asyncio.Event()
-            loop.add_reader(handle, gone.set)
-            await gone.wait()
-            loop.remove_reader(handle)
+            os.kill(process, signal.SIGKILL)
+        except ProcessLookupError:
+            return
+        await self.gone(process)
+
+    async def gone(self, process: int) -> None:
+        """Wait until a process that is dead, or dying, has let go of all that it held."""
+        try:
+            handle = os.pidfd_open(process)
         except ProcessLookupError:
-            pass
+            return
+        loop, gone = asyncio.get_running_loop(), asyncio.Event()
+        loop.add_reader(handle, gone.set)
+        try:
+            await asyncio.wait_for(gone.wait(), self.core.within / 1000.0)
+        except TimeoutError:
+            log.error("the process before this one has closed its pipe and does not end", process=process)
         finally:
+            loop.remove_reader(handle)
             os.close(handle)
 
 
