One driver for both sides of a handover; what is handed stands with the steward

The two processes ran the same loop twice, with small differences; both are one class with what differs beside it. The state that goes over imported the steward, whose links imported it: it is the steward's own module now, and imports go one way.

--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -41,11 +41,11 @@
 from ..store import SqliteStore, Store, StoreFault, StoreHeld
 from ..telemetry import Gate, Metrics, configure, log
 from ..upgrade.pipe import Pipe, peer_of
-from ..upgrade.state import Handed, take
 from ..wire import frames
 from ..wire.link import Limits
 from . import engine as core
 from . import record
+from .handed import Handed, take
 from .handover import Given, Giver, Taker, command_of, why_not
 from .joins import Joins
 from .links import LinkProtocol
@@ -411,9 +411,7 @@
             return  # the log goes on meanwhile
         begun = self.clock()
         number = self.log_number + 1
-        state = capture(
-            self.engine, self.config.steward.number, boot_id(), self.clock.zero, self.view.origins, number
-        )
+        state = self.state(number)
         if state is None or c.snapshot_path is None:
             return
         try:
@@ -429,6 +427,11 @@
         self.metrics.snapshot.observe((self.clock() - begun) / 1000.0)
         self.state_task = loop.create_task(self.write_state(c.snapshot_path, data, number))
 
+    def state(self, log: int) -> StewardState | None:
+        """As it stands between two steps; None if the module is not one that can be kept."""
+        me = self.config.steward.number
+        return capture(self.engine, me, boot_id(), self.clock.zero, self.view.origins, log)
+
     async def write_state(self, path: str, data: bytes, number: int) -> None:
         def work() -> None:
             snapshots.place(path, data)
--- a/corallanding/upgrade/state.py
+++ b/corallanding/steward/handed.py
@@ -13,13 +13,13 @@
 
 from .. import interface as api
 from ..channel.core import Channel, Message, Port
-from ..steward.engine import Engine
-from ..steward.gather import Tally
-from ..steward.joins import Habit, Joins
-from ..steward.record import pack, unpack
-from ..steward.revive import StewardState, Unfit, revive
 from ..wire.frames import Hello, Orders
 from ..wire.link import Link
+from .engine import Engine
+from .gather import Tally
+from .joins import Habit, Joins
+from .record import pack, unpack
+from .revive import StewardState, Unfit, revive
 
 
 class LinkState(msgspec.Struct, array_like=True):
@@ -82,7 +82,6 @@
     habits: list[tuple[int, float, float]]
     waiting: list[tuple[int, float, int]]  # forwarder, not before, order of coming
     pace: tuple[float, float]  # of joins: what may still go, and since when
-    door: bool  # a second listening socket comes, the door's
     version: int
     entries: list[api.HostEntry]
     addresses: dict[int, str]
@@ -135,7 +134,7 @@
 
 
 def hand(
-    e: Engine, state: StewardState, channel: Channel, links: list[LinkState], joins: Joins, door: bool,
+    e: Engine, state: StewardState, channel: Channel, links: list[LinkState], joins: Joins,
     roster: tuple[int, list[api.HostEntry], dict[int, str], dict[int, float], list[int]],
 ) -> Handed:  # fmt: skip
     g = e.gather
@@ -146,7 +145,7 @@
         [(*key, t.since, t.total, t.errored, t.weighed) for key, t in g.tallies.items()], (g.allowance, g.counted),
         channel_state(channel), links, [(f, h.last, h.wait) for f, h in joins.habits.items()],
         [(f, at, n) for at, n, f in sorted(joins.queue) if joins.waiting.get(f) == at],
-        (joins.allowance, joins.counted), door, *roster,
+        (joins.allowance, joins.counted), *roster,
     )  # fmt: skip
 
 
--- a/corallanding/steward/handover.py
+++ b/corallanding/steward/handover.py
@@ -9,16 +9,17 @@
 import socket
 import sys
 import time
+from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Sequence
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Generic, TypeVar
 
 from ..snapshot import file as snapshots
 from ..store import StoreFault
 from ..telemetry import log
 from ..upgrade.core import PROTOCOL, Do, New, Old, Phase
 from ..upgrade.pipe import Gone, Pipe, peer_of
-from ..upgrade.state import Handed, hand, link_state
-from .revive import Unfit, boot_id, capture
+from .handed import Handed, hand, link_state
+from .revive import Unfit
 
 if TYPE_CHECKING:
     from .daemon import Steward
@@ -31,6 +32,10 @@
         os.kill(os.getpid(), signal.SIGKILL if how == "kill" else signal.SIGSTOP)
 
 
+def now() -> float:
+    return time.monotonic() * 1000.0
+
+
 class Given:
     """Descriptors that came from the process before: listening sockets by address, then links in their order."""
 
@@ -94,51 +99,80 @@
     return ""
 
 
-class Giver:
+Core = TypeVar("Core", Old, New)
+
+
+class Side(ABC, Generic[Core]):
+    """One process's part: does what the core says, hears the other, watches the time."""
+
+    name: str
+    core: Core
+    pipe: Pipe | None
+
+    @property
+    def words(self) -> Pipe:
+        assert self.pipe, "no process was started"
+        return self.pipe
+
+    async def drive(self, todo: list[Do]) -> None:
+        """Until the core has come to its end."""
+        loop = asyncio.get_running_loop()
+        hearing: asyncio.Future[tuple[str, bytes]] | None = None
+        while True:
+            for a in todo:
+                halt(f"{self.name} before {a.value}")
+                more = await self.do(a)
+                if more is not None:
+                    todo = more
+                    break
+            else:
+                if self.core.phase in (Phase.IDLE, Phase.OVER, Phase.OWNER):
+                    return
+                if hearing is None:
+                    hearing = loop.run_in_executor(None, self.words.hear)
+                done, _ = await asyncio.wait({hearing}, timeout=max(0.0, self.core.deadline - now()) / 1000.0)
+                if not done:
+                    todo = self.core.tick(now())
+                    continue
+                try:
+                    todo = await self.heard(*hearing.result())
+                except Gone:
+                    todo = await self.lost()
+                hearing = None
+
+    async def heard(self, word: str, detail: bytes) -> list[Do]:
+        """Raises `Gone`."""
+        return self.core.heard(now(), word, detail.decode("utf-8", "replace"))
+
+    async def lost(self) -> list[Do]:
+        return self.core.lost(now())
+
+    @abstractmethod
+    async def do(self, a: Do) -> list[Do] | None:
+        """Another list of things to do in place of the rest, if this one did not go."""
+
+
+class Giver(Side[Old]):
     """The process that speaks. `run` returns why nothing came of it, or "" once the new one has taken over."""
 
+    name = "old"
+
     def __init__(self, steward: Steward, command: list[str], within: float) -> None:
         self.s, self.command, self.core = steward, command, Old(within)
         self.arbiter = Arbiter(f"{steward.config.store.path}.handover")
         self.process: asyncio.subprocess.Process | None = None
-        self.pipe: Pipe | None = None
+        self.pipe = None
         self.closed = False  # the store
 
     async def run(self) -> str:
-        loop, now = asyncio.get_running_loop(), self.s.clock
-        todo = self.core.begin(now())
-        hearing: asyncio.Future[tuple[str, bytes]] | None = None
         try:
-            while True:
-                for a in todo:
-                    halt(f"old before {a.value}")
-                    more = await self.do(a)
-                    if more is not None:
-                        todo = more
-                        break
-                else:
-                    if self.core.phase in (Phase.IDLE, Phase.OVER):
-                        return self.core.why
-                    assert self.pipe
-                    if hearing is None:
-                        hearing = loop.run_in_executor(None, self.pipe.hear)
-                    wait = max(0.0, self.core.deadline - now()) / 1000.0
-                    done, _ = await asyncio.wait({hearing}, timeout=wait)
-                    if not done:
-                        todo = self.core.tick(now())
-                        continue
-                    try:
-                        word, detail = hearing.result()
-                        todo = self.core.heard(now(), word, detail.decode("utf-8", "replace"))
-                    except Gone:
-                        todo = self.core.lost(now())
-                    hearing = None
+            await self.drive(self.core.begin(now()))
+            return self.core.why
         finally:
             if self.pipe:
                 self.pipe.close()
 
     async def do(self, a: Do) -> list[Do] | None:
-        """Another list of things to do in place of the rest, if this one did not go."""
         try:
             match a:
                 case Do.SPAWN:
@@ -157,8 +191,7 @@
                     self.s.store.close()
                     self.closed = True
                 case Do.SEND_COMMIT:
-                    assert self.pipe
-                    self.pipe.say("commit")
+                    self.words.say("commit")
                 case Do.END_OTHER:
                     if not self.arbiter.take():
                         return self.core.beaten()
@@ -192,93 +225,74 @@
 
     async def send_state(self) -> None:
         s = self.s
-        assert self.pipe
-        state = capture(s.engine, s.config.steward.number, boot_id(), s.clock.zero, s.view.origins, s.log_number)
+        state = s.state(s.log_number)
         if state is None:
             raise OSError("this module's state cannot be handed over")
         links = [x for x in s.links if x.link.hello and not x.over and x.transport]
         v = s.view
         roster = (v.version, list(v.entries.values()), dict(v.addresses), dict(v.starts), sorted(v.known))
         rows = [link_state(x.link, x.joined, x.paused, x.beat_at) for x in links]
-        body = snapshots.pack(hand(s.engine, state, s.channel, rows, s.joins, s.config.door is not None, roster))
+        body = snapshots.pack(hand(s.engine, state, s.channel, rows, s.joins, roster))
         fds = [server.sockets[0].fileno() for server in s.servers]
         fds += [x.transport.get_extra_info("socket").fileno() for x in links if x.transport]
 
         def work() -> None:
-            assert self.pipe
-            self.pipe.say("state", body)
-            self.pipe.say("sockets", str(len(fds)).encode())
-            self.pipe.give(fds)
+            self.words.say("state", body)
+            self.words.say("sockets", str(len(fds)).encode())
+            self.words.give(fds)
 
         await asyncio.get_running_loop().run_in_executor(None, work)
 
 
-class Taker:
+class Taker(Side[New]):
     """The process that is to speak. `start(handed, fds)` builds the steward and opens the store (raises `StoreFault`,
     `OSError`, `Unfit`); `check(handed)` tells whether the state can be used."""
 
+    name = "new"
+
     def __init__(
         self, pipe: Pipe, within: float, store: str, check: Callable[[Handed], None],
         start: Callable[[Handed | None, list[int]], Awaitable[None]],
     ) -> None:  # fmt: skip
         self.pipe, self.core = pipe, New(within)
         self.arbiter, self.check, self.start = Arbiter(f"{store}.handover"), check, start
+        self.old, self.user = peer_of(pipe.sock)
+        self.body = b""
         self.handed: Handed | None = None
         self.fds: list[int] = []
         self.why = ""
 
     async def run(self) -> bool:
         """True once this process speaks; false if it is to end."""
-        loop = asyncio.get_running_loop()
-        old, user = peer_of(self.pipe.sock)
-        if user != os.getuid():
-            log.error("handover refused: the other side is of another user", user=user)
+        if self.user != os.getuid():
+            log.error("handover refused: the other side is of another user", user=self.user)
             return False
-        todo = self.core.begin(self.now())
-        hearing: asyncio.Future[tuple[str, bytes]] | None = None
-        while True:
-            for a in todo:
-                halt(f"new before {a.value}")
-                more = await self.do(a, old)
-                if more is not None:
-                    todo = more
-                    break
-            else:
-                if self.core.phase is Phase.OWNER:
-                    halt("new after all")
-                    self.pipe.close()
-                    return True
-                if self.core.phase is Phase.OVER:
-                    return False
-                if hearing is None:
-                    hearing = loop.run_in_executor(None, self.pipe.hear)
-                done, _ = await asyncio.wait({hearing}, timeout=max(0.0, self.core.deadline - self.now()) / 1000.0)
-                if not done:
-                    todo = self.core.tick(self.now())
-                    continue
-                try:
-                    word, detail = hearing.result()
-                    if word == "state":
-                        self.body = detail
-                        count_word, count = await loop.run_in_executor(None, self.pipe.hear)
-                        if count_word != "sockets":
-                            raise Gone(f"{count_word!r} in place of sockets")
-                        self.fds = await loop.run_in_executor(None, self.pipe.receive, int(count))
-                    todo = self.core.heard(self.now(), word)
-                except Gone:
-                    # Its end of the pipe closes before its lock on the store does.
-                    await self.gone(old)
-                    todo = self.core.lost(self.now())
-                hearing = None
+        await self.drive(self.core.begin(now()))
+        if self.core.phase is not Phase.OWNER:
+            return False
+        halt("new after all")
+        self.words.close()
+        return True
+
+    async def heard(self, word: str, detail: bytes) -> list[Do]:
+        if word == "state":
+            loop, self.body = asyncio.get_running_loop(), detail
+            count_word, count = await loop.run_in_executor(None, self.words.hear)
+            if count_word != "sockets":
+                raise Gone(f"{count_word!r} in place of sockets")
+            self.fds = await loop.run_in_executor(None, self.words.receive, int(count))
+        return self.core.heard(now(), word)
 
-    def now(self) -> float:
-        return time.monotonic() * 1000.0
+    async def lost(self) -> list[Do]:
+        # Its end of the pipe closes before its lock on the store does.
+        await self.gone(self.old)
+        return self.core.lost(now())
 
-    async def do(self, a: Do, old: int) -> list[Do] | None:
+    async def do(self, a: Do) -> list[Do] | None:
         try:
             match a:
                 case Do.SEND_READY:
-                    self.pipe.say("ready", str(PROTOCOL).encode())
+                    self.words.say("ready", str(PROTOCOL).encode())
                 case Do.LOAD:
                     try:
                         self.handed = snapshots.unpack(self.body, Handed)
@@ -287,27 +301,27 @@
                         # Versions or settings that share no state: sockets are taken, forwarders dial anew.
                         log.warning("state not used; forwarders will join anew", why=str(fault))
                         self.handed = None
-                    return self.core.loaded(self.now(), True)
+                    return self.core.loaded(now(), True)
                 case Do.SEND_CHECKED:
-                    self.pipe.say("checked")
+                    self.words.say("checked")
                 case Do.OPEN_STORE | Do.COLD_START:
                     # Steward and store in one: nothing of it speaks before it returns.
                     await self.start(self.handed, self.fds)
                 case Do.SEND_TAKEN:
-                    self.pipe.say("taken")
+                    self.words.say("taken")
                 case Do.SEND_FAILED:
-                    self.pipe.say("failed", self.why.encode())
+                    self.words.say("failed", self.why.encode())
                 case Do.END_OTHER:
                     if not self.arbiter.take():
                         return self.core.beaten()
-                    await self.end(old)
+                    await self.end(self.old)
                     self.arbiter.drop()
         except (StoreFault, Unfit, OSError) as fault:
             self.why = str(fault)
             log.error("cannot take over", why=self.why)
-            return self.core.opened(self.now(), False)
+            return self.core.opened(now(), False)
         except Gone:
-            return self.core.lost(self.now()) if a is not Do.SEND_TAKEN else None
+            return self.core.lost(now()) if a is not Do.SEND_TAKEN else None
         return None
 
     async def end(self, process: int) -> None:
--- a/corallanding/steward/links.py
+++ b/corallanding/steward/links.py
@@ -5,14 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING, cast
 
-from ..upgrade.state import put_link
 from ..wire import frames
 from ..wire.frames import LinkFault
 from ..wire.link import Link
+from .handed import put_link
 
 if TYPE_CHECKING:
-    from ..upgrade.state import LinkState
     from .daemon import Steward
+    from .handed import LinkState
 
 
 class LinkProtocol(asyncio.Protocol):
--- a/corallanding/upgrade/__init__.py
+++ b/corallanding/upgrade/__init__.py
@@ -1,1 +1,1 @@
-"""Handing a running steward to a new process: who owns what when (`core`), what goes over (`state`), how (`pipe`)."""
+"""Handing a running steward to a new process: who owns what when (`core`), and how it goes over (`pipe`)."""
--- a/tests/test_upgrade_state.py
+++ b/tests/test_upgrade_state.py
@@ -12,10 +12,10 @@
 from corallanding.channel import Channel, Limits
 from corallanding.snapshot import file
 from corallanding.steward.engine import Engine, Send
+from corallanding.steward.handed import Handed, hand, link_state, put_link, take
 from corallanding.steward.joins import Joins
 from corallanding.steward.revive import Unfit, capture
 from corallanding.store.api import Life
-from corallanding.upgrade.state import Handed, hand, link_state, put_link, take
 from corallanding.wire import frames
 from corallanding.wire.link import Limits as LinkLimits
 from corallanding.wire.link import Link
@@ -70,7 +70,7 @@
         state = capture(self.engine, 0, "boot", 5.0, {}, 1)
         assert state
         roster = (1, list[api.HostEntry](), dict(ADDRESSES), dict[int, float](), [1])
-        return file.unpack(file.pack(hand(self.engine, state, self.channel, [], self.joins, True, roster)), Handed)
+        return file.unpack(file.pack(hand(self.engine, state, self.channel, [], self.joins, roster)), Handed)
 
 
 @pytest.mark.parametrize("at", [5, 17, 40, 41, 42, 43, 44, 45, 80, 119])
