One piece where two stood: costs of orders, store back-off, gRPC faults, files put in place

Read again, the change counted an order's lines in two places, waited for a failing store in two, turned a gRPC fault into words in three, replaced a file in two and named the folder of results in four; each is one piece now. A slice given anew needs no word that it was taken first: the module drops what it had. After every step all slices were gone through for marks to make ahead, also when nothing had come: that is seen at once now. Two figures that nobody read are gone.

--- a/bench/charts.py
+++ b/bench/charts.py
@@ -10,12 +10,13 @@
 matplotlib.use("Agg")
 import matplotlib.pyplot as plt
 
-HERE = Path(__file__).parent
-IMG = HERE.parent / "docs" / "img"
+from .run import RESULTS
+
+IMG = Path(__file__).parent.parent / "docs" / "img"
 
 
 def turn() -> None:
-    found = json.loads((HERE / "results" / "turn.json").read_text())
+    found = json.loads((RESULTS / "turn.json").read_text())
     fig, axes = plt.subplots(1, 2, figsize=(9, 3.6), sharey=True)
     for ax, key, title in ((axes[0], "turn_p50_ms", "a turn"), (axes[1], "drain_p50_ms", "a drain's step")):
         for side, style in (("before", "s--"), ("now", "o-")):
@@ -30,7 +31,7 @@
 
 
 def fanout() -> None:
-    found = json.loads((HERE / "results" / "fanout.json").read_text())
+    found = json.loads((RESULTS / "fanout.json").read_text())
     rows = [found[k] for k in ("24", "78", "300", "1000") if k in found]
     at = [r["calm"]["forwarders"] for r in rows]
     fig, ax = plt.subplots(figsize=(6, 3.6))
--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -27,9 +27,9 @@
 from corallanding.wire import frames
 
 from .machine import machine
+from .run import RESULTS
 from .turns import CONFIG
 
-RESULTS = Path(__file__).parent / "results"
 SIZES = {"24": (24, 12, 144), "78": (78, 130, 468), "300": (300, 500, 1800), "1000": (1000, 1000, 6000)}
 PROCESSES, DRAINS, LINES_A_FORWARDER = 4, 12, 400.0  # lines a second that the channel gives each forwarder
 
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -29,10 +29,10 @@
 from corallanding.wire import frames
 
 from .machine import machine
+from .run import RESULTS
 from .turn import SIZES, Fleet, settings
 from .turns import CONFIG, Raw
 
-RESULTS = Path(__file__).parent / "results"
 HOSTS, FORWARDERS, SLICES, KILLS = 78, 130, 468, 5
 
 
--- a/bench/turn.py
+++ b/bench/turn.py
@@ -14,7 +14,6 @@
 import json
 import sys
 import time
-from pathlib import Path
 from typing import Any
 
 import numpy as np
@@ -23,8 +22,8 @@
 from corallanding.balance import Assigner
 
 from .machine import machine
+from .run import RESULTS
 
-RESULTS = Path(__file__).parent / "results"
 SIZES = [(24, 144, 12), (78, 468, 130), (300, 1800, 500), (1000, 6000, 1000)]
 QUOTE = api.Operation("quote", api.Repeat.IDEMPOTENT, "all", 5000, 3, 0.1, 1200, 3000)
 STRAINED = 0.1  # part of the hosts that answer late in the second half: turns that look for other owners
--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -176,7 +176,7 @@
 
     def ahead(self, marks: int) -> bool:
         """Mark ahead of need, while nothing else is to be done: false once nothing is left. Decides nothing."""
-        return self.ranks.warm(list(self.slices), marks)
+        return self.ranks.warm(self.slices, marks)
 
     def host(self, id: int) -> Host:
         if id not in self.hosts:
--- a/corallanding/channel/merge.py
+++ b/corallanding/channel/merge.py
@@ -22,7 +22,8 @@
 
 def cost(o: Orders) -> int:
     """Lines of an order, its mark included."""
-    return len(o.lines) + len(o.levels) + len(o.cordons) + (o.mark >= 0)
+    emptied, changed = len(o.resets) + len(o.withdrawn), len(o.lines) + len(o.levels) + len(o.cordons) + len(o.points)
+    return emptied + changed + (o.mark >= 0)
 
 
 def empty(o: Orders) -> bool:
--- a/corallanding/ranks.py
+++ b/corallanding/ranks.py
@@ -11,7 +11,7 @@
 import math
 import operator
 from bisect import bisect
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable
 from typing import Generic, Protocol, TypeVar
 
 KEPT = 48  # servers kept a slice: a full fleet looks at a few dozen until no other can score higher
@@ -55,6 +55,7 @@
         # Two lists a slice, not one of pairs: hundreds of thousands of pairs would be walked by every full collection
         # of garbage, in the middle of some turn.
         self.rows: dict[int, tuple[list[float], list[S]]] = {}
+        self.warmed = (0, 0)  # servers and slices when `warm` last found nothing left
         self.done: dict[int, int] = {}  # how many of the servers a slice's list has seen
 
     def add(self, servers: Iterable[S]) -> None:
@@ -103,13 +104,16 @@
         """Whether lists hold every server there is."""
         return len(self.servers) <= self.kept
 
-    def warm(self, slices: Sequence[int], marks: int) -> bool:
+    def warm(self, slices: Collection[int], marks: int) -> bool:
         """Mark ahead of need, up to about `marks` of them, oldest slices first. False once nothing is left to do."""
         total = len(self.servers)
+        if self.warmed == (total, len(slices)):
+            return False  # asked after every step: nothing has come since (a slice in another's place waits for `of`)
         for slice in slices:
             if (lacks := total - self.done.get(slice, 0)) > 0:
                 if marks <= 0:
                     return True
                 self.of(slice)
                 marks -= lacks
+        self.warmed = (total, len(slices))
         return False
--- a/corallanding/registry/etcd.py
+++ b/corallanding/registry/etcd.py
@@ -36,6 +36,10 @@
     return b"\0"
 
 
+def lost(fault: grpc.aio.AioRpcError) -> Lost:
+    return Lost(f"{fault.code().name}: {fault.details()}"[:200])
+
+
 def header_of(h: Any) -> Header:
     return Header(h.cluster_id, h.revision)
 
@@ -70,7 +74,7 @@
         except grpc.aio.AioRpcError as fault:
             if fault.code() is grpc.StatusCode.OUT_OF_RANGE:
                 raise Compacted(fault.details() or "") from None
-            raise Lost(f"{fault.code().name}: {fault.details()}"[:200]) from None
+            raise lost(fault) from None
         except asyncio.CancelledError:
             # A watch that broke closes the channel under calls of others: gRPC tells them as if they were cancelled,
             # and a writer would end as a task that somebody stopped.
@@ -116,7 +120,7 @@
                     told.progress(header)
             raise Lost("the watch ended")
         except grpc.aio.AioRpcError as fault:
-            raise Lost(f"{fault.code().name}: {fault.details()}"[:200]) from None
+            raise lost(fault) from None
         finally:
             stop.set()
             stream.cancel()
--- a/corallanding/registry/keeper.py
+++ b/corallanding/registry/keeper.py
@@ -16,7 +16,7 @@
 
 from .charge import Action, Announce, Charge, Claim, Given, GrantLease, KeepAlive, Release, Terms
 from .connection import Lost
-from .etcd import Etcd
+from .etcd import Etcd, lost
 from .follow import Follower
 from .sync import Delta, Limits, Sync
 
@@ -164,7 +164,7 @@
                 return float(answer.TTL) * 1000.0
             raise Lost("no answer to a keep-alive")
         except grpc.aio.AioRpcError as fault:
-            raise Lost(f"{fault.code().name}: {fault.details()}"[:200]) from None
+            raise lost(fault) from None
         finally:
             stream.cancel()
 
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -668,21 +668,27 @@
         if not stored and not self.keeper.charge.may_speak(self.clock()):
             engine.fenced(self.clock())
         if stored:
-            self.store_faults, self.store_fault = 0, ""
-            self.metrics.store_well.set(1)
+            self.store_mended()
         self.writing = None
         if self.stopped and not self.stopped.done():
             self.finish(begun, stored)
 
     def shared_fault(self, why: str) -> None:
+        self.store_failed(self.clock(), why, self.store_faults + 1)
+        self.gate.warn("registry does not write; tables go out unsaved", why=why)
+
+    def store_failed(self, now: float, why: str, tries: int) -> None:
+        """Tries again with a growing, capped wait."""
         s = self.config.store
-        self.store_faults, self.store_fault = self.store_faults + 1, why
-        self.store_again = self.clock() + min(s.retry_most_ms, s.retry_ms * 2 ** min(self.store_faults, 20))
+        wait = min(s.retry_most_ms, s.retry_ms * 2 ** min(tries, 20))
+        self.store_faults, self.store_again, self.store_fault = self.store_faults + 1, now + wait, why
         self.metrics.store_faults.inc()
         self.metrics.store_well.set(0)
-        wait = (self.store_again - self.clock()) / 1000.0 + 0.002
-        asyncio.get_running_loop().call_later(wait, self.retry_store)
-        self.gate.warn("registry does not write; tables go out unsaved", why=why)
+        asyncio.get_running_loop().call_later(wait / 1000.0 + 0.002, self.retry_store)
+
+    def store_mended(self) -> None:
+        self.store_faults, self.store_fault = 0, ""
+        self.metrics.store_well.set(1)
 
     def finish(self, begun: float, stored: bool) -> None:
         """The second half of a step."""
@@ -709,7 +715,7 @@
             asyncio.get_running_loop().call_later(0.001, self.ahead)
 
     def keep(self, now: float, writes: core.Writes) -> bool:
-        """Write to the store; false while it does not take it. Tries again with a growing, capped wait."""
+        """Write to the store; false while it does not take it."""
         if not writes.lines and not writes.resets:
             return not self.store_faults
         if now < self.store_again:
@@ -722,12 +728,7 @@
             self.stop(4)
             return False
         except StoreFault as fault:
-            s = self.config.store
-            wait = min(s.retry_most_ms, s.retry_ms * 2 ** min(self.store_faults, 20))
-            self.store_faults, self.store_again, self.store_fault = self.store_faults + 1, now + wait, str(fault)
-            self.metrics.store_faults.inc()
-            self.metrics.store_well.set(0)
-            asyncio.get_running_loop().call_later(wait / 1000.0 + 0.002, self.retry_store)
+            self.store_failed(now, str(fault), self.store_faults)
             log.error(
                 "store does not write; tables go out unsaved", why=str(fault), faults=self.store_faults,
                 unsaved=len(self.engine.unsaved),
@@ -735,8 +736,7 @@
             return False
         if self.store_faults:
             log.info("store writes again", faults=self.store_faults)
-            self.store_faults, self.store_fault = 0, ""
-            self.metrics.store_well.set(1)
+            self.store_mended()
         return True
 
     def retry_store(self) -> None:
@@ -915,8 +915,9 @@
         if self.stopped is None or self.stopped.done():
             return
         now, beat = self.clock(), self.config.forwarders.beat_ms
-        self.engine.overload.lagged(now, max(0.0, now - self.watched_at - beat / 4.0))
-        self.metrics.lag.observe(max(0.0, now - self.watched_at - beat / 4.0) / 1000.0)
+        late = max(0.0, now - self.watched_at - beat / 4.0)
+        self.engine.overload.lagged(late)
+        self.metrics.lag.observe(late / 1000.0)
         self.metrics.put_off.set(self.engine.overload.put_off)
         self.watched_at = now
         if self.engine.overload.strained != self.strained:
@@ -929,7 +930,7 @@
             if why := link.link.overdue(now):
                 self.gate.warn("link closed", forwarder=link.forwarder, why=why)
                 link.end(why.replace(" ", "-"), why)
-            elif link.joined and not self.paused and now - link.beat_at >= beat:
+            elif link.joined and now - link.beat_at >= beat:
                 link.beat_at = now
                 link.send(data)
         if self.roster_dirty and not self.paused:
--- a/corallanding/steward/engine.py
+++ b/corallanding/steward/engine.py
@@ -12,6 +12,7 @@
 from typing import Any, Protocol
 
 from .. import interface as api
+from ..channel.merge import cost
 from ..store.api import Life
 from ..wire import frames
 from .gather import Gather
@@ -390,8 +391,7 @@
             self.seq, mark, list(resets), list(lines), list(levels), list(cordons), list(points),
             {h: self.addresses[h] for _, h, w in lines if w > 0 and h in self.addresses}, list(withdrawn),
         )  # fmt: skip
-        cost = len(resets) + len(lines) + len(levels) + len(cordons) + len(points) + len(withdrawn)
-        return Send(frames.encode(frame), cost + (mark >= 0), mark, to, frame, urgent(lines, cordons, self.going))
+        return Send(frames.encode(frame), cost(frame), mark, to, frame, urgent(lines, cordons, self.going))
 
     def reconcile(self, now: float, life: Life) -> None:
         """Another process wrote the store meanwhile: what it kept is the truth, and numbers go on above its own."""
@@ -400,7 +400,6 @@
         for slice in sorted(self.charge):
             kept = life.tables.get(slice, {})
             if kept != self.state.tables.get(slice, {}):
-                self.event(now, api.SliceGiven(slice, False))
                 self.state.tables[slice] = dict(kept)
                 self.given(now, slice)
 
--- a/corallanding/steward/listen.py
+++ b/corallanding/steward/listen.py
@@ -41,7 +41,7 @@
         self.allowance, self.counted = self.most, self.loop.time()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.timer: asyncio.TimerHandle | None = None
-        self.taken = self.short = 0
+        self.taken = 0
         self.closed = self.held = False
         self.loop.add_reader(self.socket, self.take)
 
@@ -60,7 +60,6 @@
                 return
             except OSError as fault:
                 if fault.errno in OUT_OF:
-                    self.short += 1
                     self.said(f"no descriptor for a new connection: {fault.strerror}")
                     self.rest(0.2)
                     return
--- a/corallanding/steward/overload.py
+++ b/corallanding/steward/overload.py
@@ -26,15 +26,14 @@
     lag: float = 0.0  # smoothed lateness, ms
     busy: float = 0.0  # smoothed part of the time that steps fill
     strained: bool = False
-    changed: float = field(default=0.0)
     put_off: int = 0  # turns that were made to wait so far
     ended: float = -1.0
     held: dict[int, float] = field(default_factory=dict)  # timers put off: since when
 
-    def lagged(self, now: float, late: float) -> None:
+    def lagged(self, late: float) -> None:
         """The loop, or a step, came so late. Rises at once, falls by half with each sound word."""
         self.lag = max(late, self.lag / 2.0)
-        self.judge(now)
+        self.judge()
 
     def stepped(self, now: float, took: float) -> None:
         """A step ended at `now` after `took` ms."""
@@ -43,13 +42,13 @@
             keep = 0.5 ** (span / 500.0)
             self.busy = self.busy * keep + (took / span) * (1.0 - keep)
         self.ended = now
-        self.judge(now)
+        self.judge()
 
-    def judge(self, now: float) -> None:
+    def judge(self) -> None:
         high = self.lag > self.limits.late or self.busy > self.limits.share
         low = self.lag < self.limits.late / 2 and self.busy < self.limits.share / 2
         if high != self.strained and (high or low):
-            self.strained, self.changed = high, now
+            self.strained = high
 
     def waits(self, now: float, handle: int) -> bool:
         """Whether the timer `handle`, due now, is to wait. Asked at every step while it is due."""
--- a/corallanding/steward/revive.py
+++ b/corallanding/steward/revive.py
@@ -130,8 +130,6 @@
         kept = engine.state.tables.get(id, {})
         here = module.slices.get(id)
         if here is None or {h.id for h in here.lines} != set(kept):
-            if here is not None:
-                engine.event(now, api.SliceGiven(id, False))
             engine.given(now, id)
             anew.append(id)
     return count, anew
--- a/corallanding/steward/starts.py
+++ b/corallanding/steward/starts.py
@@ -8,13 +8,15 @@
 
 from __future__ import annotations
 
-import os
+import contextlib
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 
+from ..snapshot.file import place
+
 SOON = 60_000.0  # ms: deaths within this time of one another belong together
 FREE = 3  # starts that wait for nothing
 FIRST, MOST = 1_000.0, 30_000.0  # ms
@@ -53,9 +55,5 @@
             return []
 
     def keep(self, times: Sequence[float]) -> None:
-        beside = self.path.with_name(self.path.name + ".new")
-        try:
-            beside.write_bytes(msgspec.json.encode(list(times)))
-            os.replace(beside, self.path)
-        except OSError:
-            return
+        with contextlib.suppress(OSError):
+            place(self.path, msgspec.json.encode(list(times)))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -87,15 +87,15 @@
 def test_a_turn_waits_while_the_steward_is_late_and_no_longer_than_the_settings_say() -> None:
     o = Overload(Limits(late=100.0, share=0.5, put_off_most=1000.0))
     assert not o.waits(0.0, 0)
-    o.lagged(0.0, 400.0)
+    o.lagged(400.0)
     waits = []
     for now in range(0, 1100, 100):
-        o.lagged(float(now), 400.0)
+        o.lagged(400.0)
         waits.append(o.waits(float(now), 0))
     assert waits == [True] * 10 + [False] and o.put_off == 1
     lags = []
     while o.strained:
-        o.lagged(1200.0, 0.0)
+        o.lagged(0.0)
         lags.append(o.lag)
     assert lags == [200.0, 100.0, 50.0, 25.0] and not o.waits(1300.0, 0)
 
