Upgrades take load reports and peers along, and outlive a full disk

Need: a steward with load_reports or peer_listen had to be restarted; a link kept the life it had joined; and a full disk in the middle of a handover left nobody: the old process could not open its store again and ended itself. A log line, a recording or the log of steps that its disk did not take ended the step it stood in.

Change: the intake's process goes on under the new steward (its socket, half a message and what was learnt go over; other settings begin another); peers' datagrams are read by a socket that can be held and handed; each link hears a second welcome; a store that cannot be opened again is tried later, tables go out unsaved, and all is written once it opens; logs and recordings give up quietly and say so; an intake whose steward is gone says nothing more.

Measured: with the new process's writes failing, and with both processes', twice in a row, drains reach both forwarders and the store ends as forwarders hold it; both cases failed before.

--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -68,6 +68,8 @@
 class Links:
     """Forwarders FIRST to FIRST + COUNT of one process."""
 
+    kind: type[Raw] = Raw
+
     def __init__(self, port: int, first: int, count: int, hosts: int, slices: int) -> None:
         self.port, self.numbers, self.hosts, self.slices = port, range(first, first + count), hosts, slices
         self.log: list[tuple[float, int, int, int]] = []
@@ -86,7 +88,7 @@
             await asyncio.sleep(float(self.chance.uniform(0, 0.3)))
             try:
                 made = await asyncio.get_running_loop().create_connection(
-                    lambda: Raw(self, number), "127.0.0.1", self.port
+                    lambda: self.kind(self, number), "127.0.0.1", self.port
                 )
                 self.links[number] = made[1]
                 return
--- a/corallanding/lab/forwarder.py
+++ b/corallanding/lab/forwarder.py
@@ -284,6 +284,8 @@
             case frames.Welcome():
                 said.next_life, self.beat, self.silence = frame.life, frame.beat, frame.silence
                 self.report_every = frame.report_every
+                if said.joined:
+                    said.life = frame.life  # another process of the steward goes on: what we hold is of its life
             case frames.Tables():
                 rows = {t: {h: w for h, w in lines} for t, lines in frame.tables}
                 if not frame.given:
--- a/corallanding/reports/intake.py
+++ b/corallanding/reports/intake.py
@@ -116,6 +116,8 @@
 
     def turn(self) -> None:
         """A tick's share of the budget: check, parse, hand on, and answer with the steward's tick."""
+        if self.over.done():
+            return  # the loop runs on for a moment after the steward's death, and its socket takes no more
         tick, rate = self.conf["tick_ms"], self.conf["reports_per_s"]
         asyncio.get_running_loop().call_later(tick / 1000.0, self.turn)
         self.allowance = min(rate * tick / 1000.0 + 1.0, self.allowance + rate * tick / 1000.0)
@@ -139,6 +141,8 @@
             self.say(["reports", rows])
 
     def tell_counts(self) -> None:
+        if self.over.done():
+            return
         asyncio.get_running_loop().call_later(0.5, self.tell_counts)
         counts = asdict(self.triage.counts)
         counts.update(forged=self.forged, body=self.bad_body, kernel=self.kernel_drops(), refused=self.refused)
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -19,7 +19,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 import uvloop
 
 from .. import interface as api
@@ -38,7 +37,7 @@
 from ..roster.view import View, loopback
 from ..snapshot import file as snapshots
 from ..snapshot.module import load as load_module
-from ..store import SqliteStore, Store, StoreFault, StoreHeld
+from ..store import Life, SqliteStore, Store, StoreFault, StoreHeld
 from ..telemetry import Gate, Metrics, configure, log
 from ..upgrade.pipe import Pipe, peer_of
 from ..wire import frames
@@ -51,6 +50,7 @@
 from .links import LinkProtocol
 from .listen import Listener, descriptors
 from .overload import Limits as OverloadLimits
+from .peers import Peers
 from .record import Recorder, RecordFault
 from .revive import Step, StewardState, Unfit, boot_id, capture, check, revive
 from .starts import CALM, Starts, advise
@@ -142,7 +142,7 @@
         self.store_again = 0.0
         self.roster_dirty = False
         self.servers: list[asyncio.Server | Listener] = []
-        self.peer_transport: asyncio.DatagramTransport | None = None
+        self.peers: Peers | None = None
         self.stopped: asyncio.Future[int] | None = None
         self.ready = False
         self.feed: Feed | None = None
@@ -153,6 +153,7 @@
         self.control: asyncio.Server | None = None
         self.paused_at = 0.0
         self.trust_snapshot = True
+        self.store_shut = False  # let go for a handover
         self.successor = 0  # the process that took over
         self.steps_log: Recorder | None = None
         self.log_number = 0
@@ -218,11 +219,12 @@
             else:
                 self.servers.append(await loop.create_server(self.door.protocol, host, port))
         if c.steward.peer_listen:
-            where = loopback(c.steward.peer_listen)
-            self.peer_transport, _ = await loop.create_datagram_endpoint(lambda: Peers(self), local_addr=where)
+            where = given.listening(*loopback(c.steward.peer_listen), socket.SOCK_DGRAM)
+            me, dropped = c.steward.number, self.metrics.peer_drops.inc
+            self.peers = Peers(me, c.steward.peer_listen, c.steward.peers, self.peer_said, dropped, where)
         if c.load_reports:
             self.feed = self.make_feed(c.load_reports)
-            self.feed.start()
+            self.feed.start(handed.feed if handed else None, given.pair())
         self.roster.start()
         if revived and self.settings.list_on_request:
             self.roster.follow(True)
@@ -235,6 +237,7 @@
             for link, sock in zip(handed.links, given.rest(len(handed.links)), strict=True):
                 if sock:
                     await loop.connect_accepted_socket(lambda link=link: LinkProtocol(self, link), sock)  # type: ignore[misc]
+            self.greet_all()  # should this process die too, its forwarders must know whose messages they hold
             for f in [f for f in self.engine.joined if f not in self.forwarders]:
                 self.channel.leave(f)
                 self.engine.leave(now, f)
@@ -269,7 +272,8 @@
         v.origins = {(host, started): since for host, started, since in h.state.origins}
         self.engine.addresses = v.addresses
         take(self.engine, h, self.channel, self.joins, now)
-        self.listed = True
+        self.listed, self.factors = True, dict(h.factors)
+        self.metrics.factors.set(len(self.factors))
 
     async def pause(self) -> None:
         """Say nothing and hear nothing from here on; what was written has left, or its link ends."""
@@ -279,6 +283,10 @@
                 handle.cancel()
         self.timer, self.timer_at = None, float("inf")
         self.listener.hold(True)
+        if self.feed:
+            self.feed.hold()
+        if self.peers:
+            self.peers.hold(True)
         for output in self.engine.publish(False):
             self.carry_out(self.clock(), output)
         for link in self.links:
@@ -290,9 +298,49 @@
         for link in full:
             link.end("not-reading", "")
 
+    def let_go(self) -> None:
+        """The store is for another process now."""
+        self.keep_roster()
+        self.store.close()
+        self.store_shut = True
+
+    def take_back(self) -> None:
+        """Nothing came of the handover. Raises `StoreHeld` if the store is another's; one that cannot be opened, as on
+        a full disk, is tried again later, and tables go out unsaved until then."""
+        if not self.store_shut:
+            self.resume()
+            return
+        try:
+            life = self.store.open()
+        except StoreHeld:
+            raise
+        except StoreFault as fault:
+            log.error("the store cannot be opened again; tables go out unsaved", why=str(fault))
+            self.store_failed(self.clock(), str(fault), 1)
+            self.resume(True)  # nobody can say what the new process did
+            return
+        spoke = self.reopened(life)
+        if spoke:
+            # The new one had the store, and may have sent and kept orders before it was ended.
+            log.warning("the new process had begun to speak; tables are read again", life=life.number)
+            self.engine.reconcile(self.clock(), life)
+        self.resume(spoke)
+        self.greet_all()
+
+    def reopened(self, life: Life) -> bool:
+        """True if another process had the store since it was let go."""
+        self.store_shut = False
+        spoke = life.number != self.engine.life.number + 1
+        self.engine.life.number = life.number
+        return spoke
+
     def resume(self, anew: bool = False) -> None:
         """Nothing came of the handover: all goes on. anew: forwarders may have heard another; all read again."""
         self.paused = False
+        if self.feed:
+            self.feed.resume(anew)
+        if self.peers:
+            self.peers.hold(False)
         if anew:
             for link in [x for x in self.links if x.joined and not x.over]:
                 link.joined = False
@@ -537,8 +585,8 @@
             self.ending = asyncio.get_running_loop().create_task(self.keeper.stop())
         if self.writing:
             self.writing.cancel()
-        if self.peer_transport:
-            self.peer_transport.close()
+        if self.peers:
+            self.peers.close()
         for handle in (self.timer, self.pump_timer, self.admitting):
             if handle:
                 handle.cancel()
@@ -619,15 +667,14 @@
             self.steps_log.step(now, events, actions)
             if self.steps_log.full:
                 # A log with a gap must not be taken up: without its snapshot it is nothing.
-                most = self.config.store.log_most_mb
-                log.error("the log of steps is full; the next snapshot begins another", most_mb=most)
+                log.error("the log of steps ends here; the next snapshot begins another", why=self.steps_log.why)
                 Path(str(self.config.store.snapshot_path)).unlink(missing_ok=True)
                 self.steps_log.close()
                 self.steps_log = None
         if self.recorder and (events or actions):
             self.recorder.step(now, events, actions)
             if self.recorder.full:
-                log.error("recording is full; it ends here", most_mb=self.config.record.most_mb)
+                log.error("the recording ends here", why=self.recorder.why)
                 self.recorder.close()
                 self.recorder = None
         if self.feed:
@@ -718,7 +765,7 @@
         """Write to the store; false while it does not take it."""
         if not writes.lines and not writes.resets:
             return not self.store_faults
-        if now < self.store_again:
+        if now < self.store_again or self.store_shut:
             return False
         try:
             self.store.write(writes.seq, writes.lines, writes.resets)
@@ -740,10 +787,33 @@
         return True
 
     def retry_store(self) -> None:
+        if self.store_shut and not self.paused and not self.open_again():
+            return
         self.engine.store_waits = False
         if self.stopped and not self.stopped.done():
             self.wake()
 
+    def open_again(self) -> bool:
+        """A store that could not be opened when a handover came to nothing. What forwarders hold is what counts by
+        now: it is written whole."""
+        try:
+            life = self.store.open()
+        except StoreHeld as fault:
+            log.error("store taken by another steward", why=str(fault))
+            self.stop(4)
+            return False
+        except StoreFault as fault:
+            self.store_failed(self.clock(), str(fault), self.store_faults)
+            return False
+        self.reopened(life)
+        tables = self.engine.state.tables
+        self.engine.unsaved_resets |= set(life.tables) | set(tables)
+        self.engine.unsaved = {t: dict(rows) for t, rows in tables.items()}
+        log.info("the store is open again", life=life.number, faults=self.store_faults)
+        self.store_mended()
+        self.greet_all()
+        return True
+
     def carry_out(self, now: float, output: core.Output) -> None:
         match output:
             case core.Send():
@@ -766,7 +836,8 @@
             case core.FetchRoster():
                 self.roster.fetch()
             case core.ToPeer():
-                self.to_peers(output)
+                if self.peers:
+                    self.peers.say(output.peer, output.payload)
             case core.Say():
                 log.info("note", text=output.text)
 
@@ -866,17 +937,26 @@
             wait = max(0.001, (at - now) / 1000.0)
             self.admitting = asyncio.get_running_loop().call_later(wait, self.admit)
 
-    def welcome(self, link: LinkProtocol, hello: frames.Hello) -> None:
+    def greet(self, link: LinkProtocol) -> None:
         c = self.config
         welcome = frames.Welcome(
             frames.VERSION, c.steward.number, self.engine.life.number, c.forwarders.beat_ms,
             c.forwarders.silence_ms, c.reports.every_ms, self.settings.slices,
         )  # fmt: skip
         link.send(frames.encode(welcome))
+
+    def greet_all(self) -> None:
+        """The store's life has changed under links that stand."""
+        for link in [x for x in self.links if x.joined and not x.over]:
+            self.greet(link)
+
+    def welcome(self, link: LinkProtocol, hello: frames.Hello) -> None:
+        self.greet(link)
         if self.engine.wants_recall(self.clock(), hello):
             link.link.recalled = True
             link.send(frames.encode(frames.Recall()))
-            asyncio.get_running_loop().call_later(c.forwarders.beat_ms / 1000.0, self.join, link)
+            wait = self.config.forwarders.beat_ms / 1000.0
+            asyncio.get_running_loop().call_later(wait, self.join, link)
         else:
             self.join(link)
 
@@ -983,23 +1063,7 @@
         self.engine.event(self.clock(), e)
         self.wake()
 
-    def to_peers(self, output: core.ToPeer) -> None:
-        if self.peer_transport is None:
-            return
-        data = msgspec.msgpack.encode([self.config.steward.number, output.payload])
-        for number, address in self.config.steward.peers.items():
-            if output.peer is None or str(output.peer) == number:
-                self.peer_transport.sendto(data, loopback(address))
-
-    def peer_said(self, data: bytes) -> None:
-        try:
-            sender, payload = msgspec.msgpack.decode(data, type=tuple[int, bytes])
-        except msgspec.DecodeError:
-            self.metrics.peer_drops.inc()
-            return
-        if str(sender) not in self.config.steward.peers or len(payload) > 256:
-            self.metrics.peer_drops.inc()
-            return
+    def peer_said(self, sender: int, payload: bytes) -> None:
         self.engine.event(self.clock(), api.PeerMessage(sender, payload))
         self.wake()
 
@@ -1029,14 +1093,6 @@
         return Answer(200, json.dumps(page).encode() + b"\n")
 
 
-class Peers(asyncio.DatagramProtocol):
-    def __init__(self, steward: Steward) -> None:
-        self.steward = steward
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        self.steward.peer_said(data)
-
-
 async def serve(
     path: str, record: str | None, decider: Callable[[api.Settings, int], core.Decider] = Assigner,
     take_over: int | None = None,
--- a/corallanding/steward/handed.py
+++ b/corallanding/steward/handed.py
@@ -13,6 +13,7 @@
 
 from .. import interface as api
 from ..channel.core import Channel, Message, Port
+from ..reports.handed import FeedState
 from ..wire.frames import Hello, Orders
 from ..wire.link import Link
 from .engine import Engine
@@ -87,6 +88,8 @@
     addresses: dict[int, str]
     starts: dict[int, float]
     known: list[int]
+    factors: dict[int, float]  # of load reports, as the module was told them
+    feed: FeedState | None
 
 
 def channel_state(c: Channel) -> ChannelState:
@@ -136,6 +139,7 @@
 def hand(
     e: Engine, state: StewardState, channel: Channel, links: list[LinkState], joins: Joins,
     roster: tuple[int, list[api.HostEntry], dict[int, str], dict[int, float], list[int]],
+    factors: dict[int, float], feed: FeedState | None,
 ) -> Handed:  # fmt: skip
     g = e.gather
     return Handed(
@@ -145,7 +149,7 @@
         [(*key, t.since, t.total, t.errored, t.weighed) for key, t in g.tallies.items()], (g.allowance, g.counted),
         channel_state(channel), links, [(f, h.last, h.wait) for f, h in joins.habits.items()],
         [(f, at, n) for at, n, f in sorted(joins.queue) if joins.waiting.get(f) == at],
-        (joins.allowance, joins.counted), *roster,
+        (joins.allowance, joins.counted), *roster, factors, feed,
     )  # fmt: skip
 
 
--- a/corallanding/steward/handover.py
+++ b/corallanding/steward/handover.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 from ..snapshot import file as snapshots
-from ..store import StoreFault
+from ..store import StoreFault, StoreHeld
 from ..telemetry import log
 from ..upgrade.core import PROTOCOL, Do, New, Old, Phase
 from ..upgrade.pipe import Gone, Pipe, peer_of
@@ -37,25 +37,31 @@
 
 
 class Given:
-    """Descriptors that came from the process before: listening sockets by address, then links in their order."""
+    """Descriptors that came from the process before: sockets that listen or take datagrams by address, the pair with
+    the intake of load reports, links in their order."""
 
     def __init__(self, fds: Sequence[int]) -> None:
         self.ears: list[socket.socket] = []
         self.links: list[socket.socket] = []
+        self.pairs: list[socket.socket] = []
         for fd in fds:
             sock = socket.socket(fileno=fd)
-            ear = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
-            (self.ears if ear else self.links).append(sock)
+            ear = sock.type == socket.SOCK_DGRAM or sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            pair = sock.family == socket.AF_UNIX
+            (self.pairs if pair else self.ears if ear else self.links).append(sock)
 
-    def listening(self, host: str, port: int) -> socket.socket | None:
+    def listening(self, host: str, port: int, kind: int = socket.SOCK_STREAM) -> socket.socket | None:
         """The one that listens there, if it came."""
         for sock in self.ears:
             at = sock.getsockname()
-            if at[0] == host and port in (0, at[1]):
+            if sock.type == kind and at[0] == host and port in (0, at[1]):
                 self.ears.remove(sock)
                 return sock
         return None
 
+    def pair(self) -> socket.socket | None:
+        return self.pairs.pop() if self.pairs else None
+
     def rest(self, count: int) -> list[socket.socket | None]:
         """The links, if as many came as were told of; none otherwise (their forwarders dial anew)."""
         if len(self.links) != count:
@@ -64,7 +70,7 @@
         return list(found)
 
     def close(self) -> None:
-        for sock in (*self.ears, *self.links):
+        for sock in (*self.ears, *self.links, *self.pairs):
             sock.close()
 
 
@@ -89,13 +95,9 @@
 
 def why_not(s: Steward) -> str:
     """What of this steward cannot be handed over; empty if all can."""
-    c = s.config
-    if c.registry and c.registry.charge:
+    registry = s.config.registry
+    if registry and registry.charge:
         return "registry.charge: end it (SIGTERM), its slices go to the other stewards first"
-    if c.load_reports:
-        return "load_reports: its intake cannot be handed over yet; restart instead"
-    if c.steward.peer_listen:
-        return "steward.peer_listen: its socket cannot be handed over yet; restart instead"
     return ""
 
 
@@ -162,7 +164,6 @@
         self.arbiter = Arbiter(f"{steward.config.store.path}.handover")
         self.process: asyncio.subprocess.Process | None = None
         self.pipe = None
-        self.closed = False  # the store
 
     async def run(self) -> str:
         try:
@@ -187,9 +188,7 @@
                 case Do.SEND_STATE:
                     await self.send_state()
                 case Do.CLOSE_STORE:
-                    self.s.keep_roster()
-                    self.s.store.close()
-                    self.closed = True
+                    self.s.let_go()
                 case Do.SEND_COMMIT:
                     self.words.say("commit")
                 case Do.END_OTHER:
@@ -201,24 +200,14 @@
                         await self.process.wait()
                     self.arbiter.drop()
                 case Do.RESUME:
-                    if self.closed:
-                        life, self.closed = self.s.store.open(), False
-                        spoke = life.number != self.s.engine.life.number + 1
-                        self.s.engine.life.number = life.number
-                        if spoke:
-                            # The new one had the store, and may have sent and kept orders before it was ended.
-                            log.warning("the new process had begun to speak; tables are read again", life=life.number)
-                            self.s.engine.reconcile(self.s.clock(), life)
-                        self.s.resume(spoke)
-                    else:
-                        self.s.resume()
+                    self.s.take_back()
                 case Do.EXIT:
                     self.s.handed_over = True
                     if self.s.stopped and not self.s.stopped.done():
                         self.s.stopped.set_result(0)
         except (Gone, OSError) as fault:
             return self.core.back(f"{a.value}: {fault}")
-        except StoreFault as fault:
+        except StoreHeld as fault:
             log.error("the store is not to be had again", why=str(fault))
             self.s.stop(4)
         return None
@@ -232,8 +221,14 @@
         v = s.view
         roster = (v.version, list(v.entries.values()), dict(v.addresses), dict(v.starts), sorted(v.known))
         rows = [link_state(x.link, x.joined, x.paused, x.beat_at) for x in links]
-        body = snapshots.pack(hand(s.engine, state, s.channel, rows, s.joins, roster))
         fds = [server.sockets[0].fileno() for server in s.servers]
+        feed = None
+        if s.feed:
+            feed, pair = s.feed.handed()
+            fds += [pair.fileno()] if pair else []
+        if s.peers:
+            fds.append(s.peers.sock.fileno())
+        body = snapshots.pack(hand(s.engine, state, s.channel, rows, s.joins, roster, s.factors, feed))
         fds += [x.transport.get_extra_info("socket").fileno() for x in links if x.transport]
 
         def work() -> None:
--- /dev/null
+++ b/corallanding/steward/peers.py
@@ -0,0 +1,78 @@
+"""Datagrams between stewards, on a socket of our own: reading can stop, and the socket can go to another process."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from ..roster.view import loopback
+
+AT_ONCE = 64  # datagrams read in one turn of the loop
+PAYLOAD = 256  # bytes
+
+
+class Peers:
+    """peers: number to "ip:port". `heard(peer, payload)` for each word of a known one; `dropped()` for the rest.
+
+    What comes while reading is held stays in the kernel's buffer, for whoever reads next. Raises OSError if the
+    address cannot be had.
+    """
+
+    def __init__(
+        self, me: int, listen: str, peers: Mapping[str, str], heard: Callable[[int, bytes], None],
+        dropped: Callable[[], None], given: socket.socket | None = None,
+    ) -> None:  # fmt: skip
+        self.me, self.peers, self.heard, self.dropped = me, peers, heard, dropped
+        host, port = loopback(listen)
+        if given is None:
+            given = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                given.bind((host, port))
+            except OSError:
+                given.close()
+                raise
+        given.setblocking(False)
+        self.sock = given
+        self.hold(False)
+
+    def hold(self, on: bool) -> None:
+        loop = asyncio.get_running_loop()
+        if on:
+            loop.remove_reader(self.sock)
+        else:
+            loop.add_reader(self.sock, self.read)
+
+    def read(self) -> None:
+        for _ in range(AT_ONCE):
+            try:
+                data = self.sock.recv(2048)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # a peer that is gone refused an earlier word
+            try:
+                sender, payload = msgspec.msgpack.decode(data, type=tuple[int, bytes])
+            except msgspec.DecodeError:
+                self.dropped()
+                continue
+            if str(sender) not in self.peers or len(payload) > PAYLOAD:
+                self.dropped()
+                continue
+            self.heard(sender, payload)
+
+    def say(self, peer: int | None, payload: bytes) -> None:
+        """To one, or to all. What the socket does not take is lost, as datagrams may be."""
+        data = msgspec.msgpack.encode([self.me, payload])
+        for number, address in self.peers.items():
+            if peer is None or str(peer) == number:
+                try:
+                    self.sock.sendto(data, loopback(address))
+                except OSError:
+                    self.dropped()
+
+    def close(self) -> None:
+        self.hold(True)
+        self.sock.close()
--- a/corallanding/steward/record.py
+++ b/corallanding/steward/record.py
@@ -44,13 +44,14 @@
 
 
 class Recorder:
-    """Writes one recording, up to `most` bytes; past that it stops and says so once (`full`)."""
+    """Writes one recording, up to `most` bytes; past that, or once its disk takes no more, it stops for good (`full`,
+    and `why`)."""
 
     def __init__(
         self, path: str | Path, settings: api.Settings, seed: int, most: float, middle: bool = False
     ) -> None:
         self.file: BinaryIO = open(path, "wb", buffering=0)
-        self.most, self.written, self.full = most, 0, False
+        self.most, self.written, self.full, self.why = most, 0, False, ""
         head = {"corallanding": VERSION, "seed": seed, "settings": settings, "middle": middle}
         self.item(head)
 
@@ -58,10 +59,17 @@
         body = _encoder.encode(value)
         data = len(body).to_bytes(4, "big") + body
         if self.written + len(data) > self.most:
-            self.full = True
-        if not self.full:
-            self.file.write(data)
-            self.written += len(data)
+            self.full, self.why = True, f"{self.most / 1e6:g} MB are written"
+        if self.full:
+            return
+        try:
+            took = self.file.write(data)
+        except OSError as fault:
+            self.full, self.why = True, str(fault)
+            return
+        self.written += took
+        if took < len(data):
+            self.full, self.why = True, "the disk took a part of an item"  # which readers see as torn off
 
     def step(self, now: float, events: Sequence[api.Event], actions: Sequence[api.Action]) -> None:
         self.item([now, [pack(e) for e in events], [pack(a) for a in actions]])
--- a/corallanding/store/sqlite.py
+++ b/corallanding/store/sqlite.py
@@ -40,7 +40,14 @@
         self.db: sqlite3.Connection | None = None
 
     def open(self) -> Life:
-        """Raises `StoreHeld` while another process holds the file, `StoreFault` if it cannot be used."""
+        """Raises `StoreHeld` while another process holds the file, `StoreFault` if it cannot be used; closed then."""
+        try:
+            return self.take()
+        except BaseException:
+            self.close()
+            raise
+
+    def take(self) -> Life:
         try:
             self.lock = os.open(f"{self.path}.lock", os.O_RDWR | os.O_CREAT, 0o600)
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/corallanding/telemetry/logs.py
+++ b/corallanding/telemetry/logs.py
@@ -12,6 +12,29 @@
 log: Any = structlog.get_logger("corallanding")
 
 
+class Stderr:
+    """Standard error, whichever it is now, that never raises: what logs must not die of its log's disk.
+
+    Guards against a full disk or a closed pipe under the log; hides lines then, and says how many once one is taken.
+    """
+
+    def __init__(self) -> None:
+        self.lost = 0
+
+    def write(self, text: str) -> None:
+        try:
+            if self.lost:
+                sys.stderr.write(f'{{"event": "log lines lost", "level": "error", "lost": {self.lost}}}\n')
+            sys.stderr.write(text)
+            sys.stderr.flush()
+            self.lost = 0
+        except (OSError, ValueError):
+            self.lost += 1
+
+    def flush(self) -> None:
+        """Each write has done it."""
+
+
 def configure(form: str = "json", level: str = "info") -> None:
     """form: "json" or "console"; level: "debug" to "error". May be called again at a reload."""
     last: Any = structlog.processors.JSONRenderer(sort_keys=True)
@@ -25,11 +48,14 @@
             last,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=lambda *_: structlog.WriteLogger(sys.stderr),  # whichever it is now
+        logger_factory=lambda *_: structlog.WriteLogger(stderr),  # type: ignore[arg-type]
         cache_logger_on_first_use=False,
     )
 
 
+stderr = Stderr()
+
+
 class Gate:
     """At most `most` lines of one kind in a second; says how many it left out.
 
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -5,12 +5,16 @@
 import asyncio
 import json
 import math
+import os
+import signal
+import socket
 import time
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
+import uvloop
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -19,9 +23,12 @@
 
 from corallanding import interface as api
 from corallanding.reports.envelope import HEAD, BadReport, Head, Load, genuine, pack, pack_json, read, sender
+from corallanding.reports.handed import FeedState, hand, take
+from corallanding.reports.intake import Intake
 from corallanding.reports.triage import Triage
 from corallanding.reports.weigh import changes, weigh
 from corallanding.reports.worth import Policy, Worth, influence
+from corallanding.snapshot import file
 
 HEAD_1 = Head(7, 3, 1_700_000_000_000, 9, 5_000.0, 1_700_000_005_000.0, b"12345678")
 ORCA = OrcaLoadReport(cpu_utilization=0.4, application_utilization=0.7, rps_fractional=12.5, eps=0.5)
@@ -465,16 +472,35 @@
             await until(lambda: weights()[4] == 2.0)
             assert time.monotonic() - stopped < 5.0
             # The intake dies: it comes back, and the steward has not stopped.
-            assert feed.process
-            old = feed.process.pid
-            feed.process.kill()
-            await until(lambda: feed.process and feed.process.pid != old and feed.transport)
+            old = feed.pid
+            os.kill(old, signal.SIGKILL)
+            await until(lambda: feed.pid not in (0, old) and feed.transport)
             udp.close()
             writer.close()
 
     asyncio.run(scene())
 
 
+def test_an_intake_whose_steward_is_gone_says_nothing_more() -> None:
+    """Reports still wait when the steward dies: its socket is closed, the loop has a few passes left."""
+
+    async def scene() -> None:
+        conf = {"sender_rate": 10.0, "sender_burst": 10, "processes_most": 2, "reports_per_s": 1000, "tick_ms": 1000}
+        intake = Intake({**conf, "key": ""})
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        await asyncio.get_running_loop().create_connection(lambda: intake, sock=ours)
+        intake.triage.listed([1])
+        assert intake.came(pack(Head(1, 0, 0, 1, 1.0, 5.0), orca(application_utilization=0.5)), None)
+        theirs.close()
+        await intake.over
+        await asyncio.sleep(0.05)
+        intake.turn()
+        intake.tell_counts()
+
+    uvloop.run(scene())
+
+
 def test_a_missing_key_is_named(tmp_path: Path) -> None:
     async def scene() -> None:
         with pytest.raises(OSError, match="none.key"):
@@ -491,3 +517,29 @@
     assert raw[4:10] == bytes([0, 0, 0, 7, 0, 3]) and raw[-8:] == b"12345678"
     told = json.loads(pack_json(HEAD_1, b'{"eps": 1}'))
     assert told["orca"] == {"eps": 1} and told["seq"] == 9 and msgspec.json.encode(told)
+
+
+@pytest.mark.parametrize("at", [1, 7, 30, 59])
+def test_what_was_learnt_goes_on_in_another_process(at: int) -> None:
+    """Handed over as bytes at any step, it says from there what it would have said."""
+
+    def play(handed: bool) -> list[dict[int, float]]:
+        w, said = Worth(Policy(window=100.0, half_life=1_000.0, expiry=4_000.0)), []
+        w.listed({h: (0.0, 0, 0.0) for h in range(5)})
+        for n in range(60):
+            now = 1e6 + n * 50.0
+            w.tick(now, bytes([n]) * 8)
+            for h in range(5 if n < 40 else 3):
+                head = Head(h, 0, 0, n, now, 5.0, bytes([max(0, n - h)]) * 8)
+                w.report(now, now, head, Load(2.0 if h == 4 else 0.5 + 0.01 * (n % 2)))
+                w.seen(h, 4, n % 2, 300.0 + h)
+            w.turn(now)
+            said.append(w.factors())
+            if handed and n == at:
+                state = file.unpack(file.pack(hand(w, "x", 1, 2, b"half", {})), FeedState)
+                assert (state.held, state.process, state.port) == (b"half", 1, 2)
+                w = Worth(w.policy)
+                take(w, state)
+        return said
+
+    assert play(True) == play(False) and any(play(False))
--- a/tests/test_revive.py
+++ b/tests/test_revive.py
@@ -323,3 +323,28 @@
 
     asyncio.run(scene())
     assert boot_id()
+
+
+def test_a_recording_ends_where_its_disk_does(tmp_path: Path) -> None:
+    """A part of an item, then room again: what follows a torn item could not be read, and is not written."""
+    r = record.Recorder(tmp_path / "r", SETTINGS, 1, 1e9)
+    r.step(1.0, [], [])
+    real = r.file
+
+    class Short:
+        def write(self, data: bytes) -> int:
+            return real.write(data[:7])
+
+    r.file = Short()  # type: ignore[assignment]
+    r.step(2.0, [], [])
+    r.file = real
+    r.step(3.0, [], [])
+    assert r.full and "a part" in r.why
+    r.close()
+    found = record.read(tmp_path / "r")
+    assert [now for now, _, _ in found.steps] == [1.0] and found.torn
+    with open("/dev/full", "wb", buffering=0) as full:
+        r = record.Recorder(tmp_path / "r", SETTINGS, 1, 1e9)
+        r.file = full
+        r.step(1.0, [], [])
+        assert r.full and "No space left" in r.why
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -354,9 +354,9 @@
             text = CONFIG.replace("steward {", f"steward {{\n  {mine}")
             stewards.append(Running(tmp_path / str(me), config=text))
         async with stewards[0] as a, stewards[1] as b:
-            assert a.steward.peer_transport
-            a.steward.peer_transport.sendto(b"\xc1 rubbish", ("127.0.0.1", ports[1]))
-            a.steward.peer_transport.sendto(msgspec.msgpack.encode([7, b"x"]), ("127.0.0.1", ports[1]))
+            assert a.steward.peers
+            a.steward.peers.sock.sendto(b"\xc1 rubbish", ("127.0.0.1", ports[1]))
+            a.steward.peers.sock.sendto(msgspec.msgpack.encode([7, b"x"]), ("127.0.0.1", ports[1]))
             a.do(api.Tell(None, b"hi"), api.Tell(1, b"there"), api.Tell(5, b"nobody"))
             await until(lambda: sum(isinstance(e, api.PeerMessage) for e in b.module.told) == 2)
             got = [e for e in b.module.told if isinstance(e, api.PeerMessage)]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,17 +5,24 @@
 import asyncio
 import json
 import os
+import resource
 import signal
+import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from sockets import CONFIG, until
+from xds.data.orca.v3.orca_load_report_pb2 import OrcaLoadReport
 
 from corallanding.lab.roster import Roster
 from corallanding.lab.trace import Trace
+from corallanding.reports.envelope import Head, pack
+from corallanding.store import SqliteStore
 from corallanding.upgrade.core import Do
 from corallanding.wire import frames
 
@@ -29,6 +36,7 @@
         self.number, self.port, self.tables = number, port, dict[int, set[int]]()
         self.links = self.orders = 0
         self.seqs: list[int] = []
+        self.lives: list[int] = []  # as welcomes said
         self.over = False
         self.later: bytes | None = None
         self.wrong = ""
@@ -70,7 +78,9 @@
             self.later = None
 
     def told(self, f: Any, writer: asyncio.StreamWriter) -> None:
-        if isinstance(f, frames.Tables):
+        if isinstance(f, frames.Welcome):
+            self.lives.append(f.life)
+        elif isinstance(f, frames.Tables):
             self.links += not f.given
             self.tables = {t: {h for h, _ in rows} for t, rows in f.tables}
             self.seqs = [f.seq]
@@ -94,8 +104,9 @@
 class Scene:
     """A roster, a steward's process, two forwarders."""
 
-    def __init__(self, folder: Path, halt: str = "") -> None:
-        self.folder, self.halt = folder, halt
+    def __init__(self, folder: Path, halt: str = "", more: str = "", peers: tuple[int, int] = (0, 0)) -> None:
+        """peers: UDP ports of this steward's own and of number 2, which the test plays."""
+        self.folder, self.halt, self.more, self.peers = folder, halt, more, peers
 
     async def __aenter__(self) -> Scene:
         self.roster = Roster(Trace())
@@ -106,8 +117,12 @@
         text = CONFIG % (self.folder / "s.db")
         text = text.replace('address = "127.0.0.1:1"', f'address = "127.0.0.1:{self.roster.port}"')
         control = f'  control = "{self.folder}/c"\n  upgrade_within_ms = {WITHIN}\n'
+        if self.peers[0]:
+            control += f'  stewards = 2\n  peer_listen = "127.0.0.1:{self.peers[0]}"\n'
+            control += f'  peers = {{ "2" = "127.0.0.1:{self.peers[1]}" }}\n'
         text = text.replace("steward {\n", "steward {\n" + control).replace("silence_ms = 600", "silence_ms = 3000")
-        text = text.replace('level = "error"', 'level = "info"\n  format = "json"') + "probe {\n  allowed = false\n}\n"
+        text = text.replace('level = "error"', 'level = "info"\n  format = "json"')
+        text += "probe {\n  allowed = false\n}\n" + self.more
         self.path, self.log = self.folder / "s.hcl", self.folder / "log"
         self.path.write_text(text)
         with open(self.log, "wb") as out:
@@ -150,6 +165,16 @@
                 count += int(group) == self.process.pid and state not in "ZTX"
         return count
 
+    async def page(self, path: str) -> str:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.words("ready")[-1]["listen"][1][1])
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n".encode())
+        text = (await reader.read()).decode()
+        writer.close()
+        return text
+
+    async def well(self) -> bool:
+        return " 200 " in (await self.page("/healthz")).splitlines()[0]
+
     async def upgrade(self, *words: str) -> str:
         try:
             reader, writer = await asyncio.open_unix_connection(f"{self.folder}/c")
@@ -193,6 +218,136 @@
             await until(lambda: s.running() == 1)
             assert len(s.words("handed over")) == 10 and len(s.words("ready")) == 11
             assert [w["life"] for w in s.words("ready")] == list(range(1, 12))
+            # Each forwarder knows whose messages it holds, should that one die with a failing store.
+            await until(lambda: all(f.lives == list(range(1, 12)) for f in s.forwarders))
+
+    play(scene())
+
+
+REPORTS = """
+load_reports {
+  listen = "127.0.0.1:0"
+  window_ms = 200
+  half_life_ms = 2000
+  expiry_ms = 8000
+  tick_ms = 10
+}
+"""
+
+
+def children(group: int, of: str) -> list[int]:
+    """Processes of a scene by a word of their command."""
+    found = []
+    for name in os.listdir("/proc"):
+        if name.isdigit() and int(name) != group:
+            try:
+                if os.getpgid(int(name)) == group and of in Path(f"/proc/{name}/cmdline").read_text():
+                    found.append(int(name))
+            except (OSError, ProcessLookupError):
+                continue
+    return found
+
+
+def test_intake_of_load_reports_and_peers_go_over(tmp_path: Path) -> None:
+    """The intake's process never stops: its senders see ticks of the new steward, what was learnt stands, and a
+    handover that fails after the new one may have read of its words begins another."""
+
+    async def scene() -> None:
+        peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        peer.bind(("127.0.0.1", 0))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+            free.bind(("127.0.0.1", 0))
+            peer_port = free.getsockname()[1]
+        async with Scene(tmp_path, more=REPORTS, peers=(peer_port, peer.getsockname()[1])) as s:
+            await until(lambda: s.words("load reports"), 10)
+            port = s.words("load reports")[0]["port"]
+            echo, ticks = [b"\0" * 8], set[bytes]()
+            udp, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: Echo(echo, ticks), remote_addr=("127.0.0.1", port)
+            )
+
+            async def report() -> None:
+                for seq in range(1_000_000):
+                    for h in range(HOSTS):
+                        up = time.monotonic() * 1000.0
+                        load = OrcaLoadReport(application_utilization=2.0 if h == 4 else 0.6 + 0.01 * (seq % 2))
+                        head = Head(h, 0, 0, seq, up, 5.0, echo[0])
+                        udp.sendto(pack(head, load.SerializeToString()))
+                    await asyncio.sleep(0.05)
+
+            sending = asyncio.create_task(report())
+            await until(lambda: any("4" in w["factors"] for w in s.words("load factors")), 20)
+            intake = children(s.process.pid, "reports.intake")
+            assert len(intake) == 1
+            for n in range(3):
+                assert (await s.upgrade()).startswith("ok: handed over")
+                seen = set(ticks)
+                await until(lambda seen=seen: len(ticks - seen) >= 4, 5)
+                await s.drains(n)
+                s.roster.put(n, state="up")
+                peer.sendto(msgspec.msgpack.encode([2, b"word"]), ("127.0.0.1", peer_port))
+                peer.sendto(msgspec.msgpack.encode([7, b"a stranger's"]), ("127.0.0.1", peer_port))
+            assert children(s.process.pid, "reports.intake") == intake and len(s.words("load reports")) == 1
+            assert all("4" in w["factors"] for w in s.words("load factors")[1:]), "what was learnt stands"
+            page = await s.page("/metrics")
+            assert f"report_senders {HOSTS}.0" in page and "peer_messages_dropped_total 1.0" in page
+            s.path.write_text(s.path.read_text().replace("tick_ms = 10", "tick_ms = 11"))
+            assert (await s.upgrade()).startswith("ok: handed over")
+            await until(lambda: len(s.words("load reports")) == 2, 10)
+            assert children(s.process.pid, "reports.intake") != intake, "other settings of it begin another"
+            await s.drains(5)
+            sending.cancel()
+            udp.close()
+        peer.close()
+
+    play(scene())
+
+
+class Echo(asyncio.DatagramProtocol):
+    def __init__(self, echo: list[bytes], ticks: set[bytes]) -> None:
+        self.echo, self.ticks = echo, ticks
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.echo[0] = data[2:10]
+        self.ticks.add(self.echo[0])
+
+
+@pytest.mark.parametrize("whose", ["new", "both"])
+def test_a_full_disk_in_mid_handover_costs_no_voice(tmp_path: Path, whose: str) -> None:
+    """Limits on file sizes stand for the disk: every write of that process fails, its log's too. The new one cannot
+    open the store; the old one may not be able to open it again, and goes on without."""
+
+    async def scene() -> None:
+        async with Scene(tmp_path, more="record {\n}\n") as s:
+            words = [sys.executable, "-m", "corallanding.cli.main", "steward", "--config", str(s.path)]
+            if whose == "new":
+                answer = await s.upgrade("sh", "-c", 'ulimit -f 0; exec "$@"', "sh", *words)
+            else:
+                most = resource.prlimit(s.process.pid, resource.RLIMIT_FSIZE)
+                resource.prlimit(s.process.pid, resource.RLIMIT_FSIZE, (0, most[1]))
+                answer = await s.upgrade()
+            assert answer.startswith("failed: ") and "s.db" in answer, answer
+            await s.drains(1)
+            assert s.running() == 1 and await s.well() == (whose == "new")
+            if whose == "both":
+                assert (await s.upgrade()).startswith("failed: ")
+                await s.drains(2)
+                assert s.running() == 1
+                resource.prlimit(s.process.pid, resource.RLIMIT_FSIZE, most)
+                await until(lambda: s.words("the store is open again"), 5)
+                assert s.words("log lines lost")[0]["lost"] > 0
+                await s.drains(3)
+                assert await s.well()
+            assert (await s.upgrade()).startswith("ok: handed over")
+            await s.drains(4)
+            await until(lambda: s.running() == 1)
+            # What the store holds in the end is what forwarders hold.
+            os.killpg(s.process.pid, signal.SIGKILL)
+            kept = SqliteStore(tmp_path / "s.db")
+            await asyncio.sleep(0.1)
+            tables = kept.open().tables
+            kept.close()
+            assert {t: set(rows) for t, rows in tables.items()} == s.forwarders[0].tables
 
     play(scene())
 
--- a/tests/test_upgrade_state.py
+++ b/tests/test_upgrade_state.py
@@ -70,7 +70,7 @@
         state = capture(self.engine, 0, "boot", 5.0, {}, 1)
         assert state
         roster = (1, list[api.HostEntry](), dict(ADDRESSES), dict[int, float](), [1])
-        return file.unpack(file.pack(hand(self.engine, state, self.channel, [], self.joins, roster)), Handed)
+        return file.unpack(file.pack(hand(self.engine, state, self.channel, [], self.joins, roster, {}, None)), Handed)
 
 
 @pytest.mark.parametrize("at", [5, 17, 40, 41, 42, 43, 44, 45, 80, 119])
