The daemon and its stand-ins run in simulated time: the base of the fleet emulator

Change: an asyncio loop in simulated time with streams between processes that can be killed or frozen; on it the daemon itself with the lab's own hosts, forwarders, clients, roster and faults, judged by the same audit. A forwarder's and a fault's chances go by what they are for, not by how many were drawn before, so that two runs that are compared meet the same. The stand-ins' clock can be set; the daemon's listener, clocks and links' order are open to it.

--- a/corallanding/lab/faults.py
+++ b/corallanding/lab/faults.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
+import numpy as np
+
 from .clients import Hot
 from .host import Host, release
 from .reporter import Way
 from .scenario import Fault, Scenario
-from .trace import clock
+from .trace import clock, wall
 
 if TYPE_CHECKING:
     from .runner import Lab
@@ -35,6 +36,14 @@
 class Faults:
     def __init__(self, lab: Lab) -> None:
         self.lab, self.witness = lab, lab.trace.witness("faults")
+        self.draws: dict[int, int] = {}
+
+    def order(self, f: Fault, count: int) -> list[int]:
+        """An order drawn by the run's seed, the fault's place and how often it drew: what other faults draw, and what
+        the fleet is like by then, changes nothing for two runs that are compared."""
+        place = next(k for k, x in enumerate(self.lab.scenario.fault) if x is f)
+        drawn = self.draws[place] = self.draws.get(place, 0) + 1
+        return [int(k) for k in np.random.default_rng([self.lab.seed, 2, place, drawn]).permutation(count)]
 
     def some(self, f: Fault, share: float | None = None) -> list[Host]:
         """The hosts that a fault strikes: named, or a share of those up, drawn by the run's seed."""
@@ -42,14 +51,13 @@
         if f.on:
             return [h for h in up if h.number in f.on]
         count = max(1, round(len(up) * (f.part if share is None else share)))
-        order = self.lab.chance.permutation(len(up))
-        return [up[i] for i in order[:count]]
+        return [up[i] for i in self.order(f, len(up))[:count]]
 
     def forwarders(self, f: Fault) -> list[int]:
         n = len(self.lab.forwarders)
         if f.on:
             return [k for k in f.on if k < n]
-        return [int(k) for k in self.lab.chance.permutation(n)[: max(1, round(n * f.part))]]
+        return self.order(f, n)[: max(1, round(n * f.part))]
 
     def zone(self, f: Fault) -> int:
         zones = len(self.lab.scenario.zones)
@@ -270,7 +278,7 @@
         elif f.how == "ghost":
             for k in range(max(1, int(f.size))):
                 number = 1_000_000 + k
-                row = {"state": "up", "address": "127.0.0.1:1", "zone": 0, "started": time.time() * 1000.0}
+                row = {"state": "up", "address": "127.0.0.1:1", "zone": 0, "started": wall()}
                 roster.ghosts[number] = {"host": number, **row}
         else:
             roster.dropped = set(roster.rows) if f.how == "empty" else struck
--- /dev/null
+++ b/corallanding/lab/fleet/emulate.py
@@ -0,0 +1,172 @@
+"""One day in simulated time: the lab's stand-ins around the daemon, on `loop.SimLoop`, judged by the same audit."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import lru_cache
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from ... import interface as api
+from ...balance import Assigner
+from ...config import StewardConfig, load_steward
+from ...steward.engine import Decider
+from ...telemetry import configure
+from .. import trace
+from ..publishers import PUBLISHERS
+from ..runner import Lab
+from ..scenario import Scenario, steward_hcl
+from .loop import Machine, SimLoop, run
+from .steward import MemoryStore, SimSteward
+
+LATENCY = 0.000_2  # s, one way between two processes of one machine: what loopback and two loops take
+NOT_EMULATED = {"upgrade": "two processes share sockets there"}
+
+
+class NotEmulated(Exception):
+    """What a scenario asks for and the emulator does not have."""
+
+
+def refuse(s: Scenario) -> None:
+    """Raises `NotEmulated`."""
+    for f in s.fault:
+        if f.kind in NOT_EMULATED:
+            raise NotEmulated(f"fault {f.kind!r}: {NOT_EMULATED[f.kind]}")
+    if s.load_reports:
+        raise NotEmulated("load_reports: their intake is a process of its own, on datagrams")
+    if s.stewards > 1:
+        raise NotEmulated("stewards: more than one share slices through a registry's gRPC")
+
+
+@lru_cache(maxsize=64)
+def steward_of(scenario: str) -> StewardConfig:
+    """The configuration that the lab would write for the scenario (as JSON). Parsing takes as long as a short day."""
+    s = Scenario.model_validate_json(scenario)
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "steward.hcl"
+        path.write_text(steward_hcl(s, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", f"{folder}/store.db", 1, False))
+        return load_steward(path)
+
+
+class FleetLab(Lab):
+    """config: the steward's, where it is not what the lab would write; addresses in it do not matter."""
+
+    def __init__(
+        self, loop: SimLoop, scenario: Scenario, seed: int, config: StewardConfig | None = None,
+        decider: Callable[[api.Settings, int], Decider] = Assigner, record: str | None = None,
+    ) -> None:  # fmt: skip
+        self.loop = loop
+        super().__init__(scenario, Path("."), seed)
+        self.base, self.decider, self.record = config or steward_of(scenario.model_dump_json()), decider, record
+        self.memory, self.machine = MemoryStore(), Machine()
+        self.steward: SimSteward | None = None
+
+    def new_port(self) -> int:
+        self.loop.ports += 1
+        return self.loop.ports
+
+    def prepare(self) -> None:
+        """Nothing is written."""
+
+    def configure(self, reports_key: str) -> None:
+        s, base = self.scenario, self.base
+        steward = base.steward.model_copy(
+            update={"listen": f"127.0.0.1:{self.ports[0]}", "seed": self.seed, "zone": s.zones[0], "control": None,
+                    "peer_listen": None}
+        )  # fmt: skip
+        assert base.roster
+        roster = base.roster.model_copy(
+            update={"address": f"127.0.0.1:{self.roster.port}", "mode": s.roster.mode}
+        )
+        store = base.store.model_copy(update={"snapshot_path": None})
+        self.config = base.model_copy(
+            update={"steward": steward, "roster": roster, "store": store, "door": None, "load_reports": None,
+                    "registry": None, "zones": s.zones}
+        )  # fmt: skip
+
+    async def start_steward(self, me: int = 0) -> None:
+        self.lives += 1
+        self.machine = Machine()
+        record = f"{self.record}-{self.lives}.rec" if self.record else None
+        self.steward = steward = SimSteward(self.loop, self.config, self.decider, self.memory, record)
+        task = self.machine.start(self.loop, steward.live())
+        while not steward.ready:
+            await asyncio.sleep(0.01)
+            if task.done():
+                raise RuntimeError(f"the steward did not start: {task.exception()!r}")
+
+    async def kill_steward(self, me: int = 0) -> None:
+        self.machine.kill()
+
+    async def freeze_steward(self, seconds: float) -> None:
+        if self.machine.alive:
+            self.machine.freeze(True)
+            await asyncio.sleep(seconds)
+            self.machine.freeze(False)
+
+    async def hold_store(self, seconds: float) -> None:
+        self.memory.down = True
+        await asyncio.sleep(seconds)
+        self.memory.down = False
+
+    async def poll(self) -> None:
+        while True:
+            await asyncio.sleep(0.25)
+            if self.steward and self.machine.alive:
+                point = {"t": (trace.clock() - self.begun) / 1000.0, "waiting": float(self.steward.channel.waiting)}
+                self.polls.append(point)
+
+    async def laid(self) -> dict[int, set[int]]:
+        assert self.steward
+        return {t: set(row) for t, row in self.steward.engine.state.tables.items()}
+
+    async def end_stewards(self) -> None:
+        self.machine.kill()
+
+    def keep(self, result: dict[str, Any]) -> None:
+        """The caller has it."""
+
+
+@dataclass
+class Emulated:
+    result: dict[str, Any]  # as `result.json` of the lab
+    records: list[tuple[Any, ...]]  # as `trace.jsonl.gz`
+    begun: float
+    polls: list[dict[str, float]]
+    events: int  # callbacks of the loop
+    took: float  # s of real time
+    simulated: float  # s
+
+
+def emulate(
+    scenario: Scenario, seed: int, config: StewardConfig | None = None,
+    decider: Callable[[api.Settings, int], Decider] | None = None, record: str | None = None,
+    latency: float = LATENCY,
+) -> Emulated:  # fmt: skip
+    """Plays the scenario; the same arguments give the same result and records. Raises `NotEmulated`."""
+    refuse(scenario)
+    configure("json", "critical")
+    made: list[FleetLab] = []
+    events = [0, 0.0]
+
+    async def work(loop: SimLoop) -> dict[str, Any]:
+        trace.use(loop.time, loop.time)
+        lab = FleetLab(loop, scenario, seed, config, decider or PUBLISHERS[scenario.publisher], record)
+        made.append(lab)
+        begun = loop.now
+        result = await lab.run()
+        events[:] = loop.events, loop.now - begun
+        return result
+
+    begun = time.perf_counter()
+    try:
+        result = run(work, latency)
+    finally:
+        trace.use()
+    lab = made[0]
+    took = time.perf_counter() - begun
+    return Emulated(result, lab.trace.records, lab.begun, lab.polls, int(events[0]), took, events[1])
--- /dev/null
+++ b/corallanding/lab/fleet/steward.py
@@ -0,0 +1,97 @@
+"""The daemon in simulated time: its listener and its store are objects; everything else is as it runs on sockets."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from ... import interface as api
+from ...config import StewardConfig
+from ...steward.daemon import Steward
+from ...steward.engine import Decider
+from ...steward.links import LinkProtocol
+from ...store import Life, StoreFault, StoreHeld
+from .loop import Server, SimLoop
+
+
+class MemoryStore:
+    """What the store's file is to a daemon: it outlives the process. `down`: writes fail meanwhile."""
+
+    def __init__(self) -> None:
+        self.life, self.seq, self.down = 0, 0, False
+        self.tables: dict[int, dict[int, float]] = {}
+        self.roster: tuple[int, tuple[api.HostEntry, ...], dict[int, str], dict[int, float]] = (0, (), {}, {})
+
+
+class Handle:
+    """One process's hold on a `MemoryStore`, fenced by its life."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.store, self.life = store, -1
+
+    def open(self) -> Life:
+        s = self.store
+        s.life += 1
+        self.life = s.life
+        seq, s.seq = s.seq, 0
+        version, entries, addresses, starts = s.roster
+        tables = {t: dict(row) for t, row in sorted(s.tables.items()) if row}
+        return Life(s.life, seq, tables, entries, version, dict(addresses), dict(starts))
+
+    def check(self) -> MemoryStore:
+        if self.life != self.store.life:
+            raise StoreHeld(f"taken by a later steward (life {self.store.life}, this is {self.life})")
+        if self.store.down:
+            raise StoreFault("the store does not write")
+        return self.store
+
+    def write(self, seq: int, lines: Sequence[tuple[int, int, float]], resets: Sequence[int] = ()) -> None:
+        s = self.check()
+        for t in resets:
+            s.tables.pop(t, None)
+        for t, host, weight in lines:
+            row = s.tables.setdefault(t, {})
+            if weight > 0:
+                row[host] = weight
+            else:
+                row.pop(host, None)
+        s.seq = seq
+
+    def keep_roster(
+        self, version: int, entries: Sequence[api.HostEntry], addresses: dict[int, str], starts: dict[int, float]
+    ) -> None:
+        self.check().roster = (version, tuple(entries), dict(addresses), dict(starts))
+
+    def close(self) -> None:
+        """The next one may open it."""
+
+
+class SimListener:
+    """Stands for `steward.listen.Listener`; the pace of accepting is not emulated."""
+
+    def __init__(self, server: Server) -> None:
+        self.server, self.sockets = server, server.sockets
+
+    def hold(self, on: bool) -> None:
+        raise NotImplementedError("handovers are not emulated")
+
+    def close(self) -> None:
+        self.server.close()
+
+
+class SimSteward(Steward):
+    def __init__(
+        self, loop: SimLoop, config: StewardConfig, decider: Callable[[api.Settings, int], Decider], store: MemoryStore,
+        record: str | None = None,
+    ) -> None:  # fmt: skip
+        super().__init__(config, decider, record, None, Handle(store), loop.time, loop.time)
+        self.loop = loop
+
+    def make_listener(self, host: str, port: int, given: Any) -> Any:
+        return SimListener(self.loop.listen(lambda: LinkProtocol(self), host, port))
+
+    async def live(self) -> None:
+        await self.start()
+        assert self.stopped is not None
+        await self.stopped
+
--- a/corallanding/lab/forwarder.py
+++ b/corallanding/lab/forwarder.py
@@ -13,6 +13,7 @@
 import numpy as np
 
 from ..wire import frames
+from .chance import at, uniform
 from .net import Cancel, Done, Invoke, Net, at_forwarder
 from .trace import Trace, clock
 
@@ -87,7 +88,7 @@
         for done in self.reader.feed(data):
             way = f.net.way(self.zone, f.zone)
             lost = f.net.answers_lost.get(self.host, 0.0)
-            if way is None or (lost and f.chance.random() < lost):
+            if way is None or (lost and f.drawn(done.inv, done.attempt, done.again, 3) < lost):
                 continue
             if way > 0:
                 asyncio.get_running_loop().call_later(way / 1000.0, f.answered, self, done)
@@ -150,7 +151,7 @@
             if isinstance(frame, frames.Orders | frames.Tables):
                 f.witness.saw("frame", msgspec.to_builtins(frame), self.k)
             # The way of a message takes its time, in order (timers alone would swap what falls due together).
-            delay = float(f.chance.exponential(f.rules.transit)) if f.rules.transit else 0.0
+            delay = float(f.ways.exponential(f.rules.transit)) if f.rules.transit else 0.0
             self.next_at = max(self.next_at, clock() + delay)
             self.coming.append((self.next_at, frame))
         self.arrive()
@@ -174,7 +175,8 @@
     ) -> None:  # fmt: skip
         self.number, self.zone, self.rate, self.where = number, zone, rate, stewards
         self.steward_zone, self.rules, self.zones, self.net = steward_zone, rules, zones, net
-        self.chance = np.random.default_rng([seed, number])
+        self.chance, self.ways = np.random.default_rng([seed, number]), np.random.default_rng([seed, number, 1])
+        self.seed = seed
         self.witness = trace.witness(f"forwarder {number}")
         self.sessions = itertools.count(1)
         self.links: list[Steward | None] = [None] * len(stewards)
@@ -373,7 +375,7 @@
         count = self.slice_sums.setdefault((t.slice, t.operation), [0, 0])
         count[0] += 1
         amount, _ = self.level(t.slice, t.operation)
-        if amount < 1.0 and self.chance.random() >= amount:
+        if amount < 1.0 and self.drawn(t.inv, t.attempt, 0, 0) >= amount:
             self.witness.saw("refused", t.inv, t.attempt)
             t.done("rate-limited")
             return
@@ -388,16 +390,20 @@
         sound = [(h, w) for h, w in lines if self.ejected.get(h, 0.0) <= now]
         return sound or lines
 
-    def pick(self, lines: list[tuple[int, float]]) -> int:
+    def drawn(self, inv: int, attempt: int, again: int, what: int) -> float:
+        """By what is drawn for, not by how many were drawn before: two runs that are compared meet the same chances."""
+        return uniform(self.seed, self.number, inv, attempt * 16 + again, what)
+
+    def pick(self, t: Try, lines: list[tuple[int, float]]) -> int:
         if len(lines) == 1:
             return lines[0][0]
         if self.rules.pick == "rotate":
             return lines[next(self.turns) % len(lines)][0]
-        weights = np.array([w for _, w in lines])
-        draws = self.chance.choice(len(lines), 2, p=weights / weights.sum())
+        first = at(lines, self.drawn(t.inv, t.attempt, t.again, 1))
         if self.rules.pick == "random":
-            return lines[int(draws[0])][0]
-        return min((lines[int(i)][0] for i in draws), key=lambda h: self.outstanding[h])
+            return first
+        second = at(lines, self.drawn(t.inv, t.attempt, t.again, 2))
+        return second if self.outstanding[second] < self.outstanding[first] else first
 
     def send(self, t: Try) -> None:
         if t.ended:
@@ -412,7 +418,7 @@
             loop = asyncio.get_running_loop()
             loop.call_later(self.rules.table_wait / 1000.0, self.waited, t)
             return
-        t.host, t.sent = self.pick(lines), clock()
+        t.host, t.sent = self.pick(t, lines), clock()
         t.tried.append(t.host)
         conn = self.conn(t.host)
         conn.out[t.inv, t.attempt, t.again] = t
--- a/corallanding/lab/host.py
+++ b/corallanding/lab/host.py
@@ -39,7 +39,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)
         self.transport = transport
-        self.host.conns.add(self)
+        self.host.conns[self] = None
 
     def data_received(self, data: bytes) -> None:
         if not self.mode:
@@ -54,14 +54,14 @@
             self.host.take(self, frame)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.host.conns.discard(self)
+        self.host.conns.pop(self, None)
 
 
 class Host:
     def __init__(self, number: int, zone: int, spec: HostSpec, trace: Trace, port: int = 0) -> None:
         self.number, self.zone, self.spec, self.port = number, zone, spec, port
         self.witness = trace.witness(f"host {number}")
-        self.conns: set[Conn] = set()
+        self.conns: dict[Conn, None] = {}
         self.server: asyncio.Server | None = None
         self.started = 0.0  # wall-clock ms of the process start; 0 is long ago
         self.since = -1e12  # the same on the trace's clock
--- a/corallanding/lab/roster.py
+++ b/corallanding/lab/roster.py
@@ -19,7 +19,7 @@
         if self.roster.down:
             transport.abort()
             return
-        self.roster.conns.add(self)
+        self.roster.conns[self] = None
 
     def data_received(self, data: bytes) -> None:
         self.held += data
@@ -31,7 +31,7 @@
                 self.roster.tell(self, "full", self.roster.shown(), None)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.roster.conns.discard(self)
+        self.roster.conns.pop(self, None)
 
 
 class Roster:
@@ -41,7 +41,7 @@
         self.witness, self.port = trace.witness("roster"), port
         self.rows: dict[int, dict[str, Any]] = {}
         self.version, self.down = 1, False
-        self.conns: set[Conn] = set()
+        self.conns: dict[Conn, None] = {}
         self.dropped: set[int] = set()  # living hosts that a wrong list leaves out
         self.ghosts: dict[int, dict[str, Any]] = {}  # hosts that do not exist
         self.frozen: dict[int, dict[str, Any]] | None = None  # a list that went back in time
--- a/corallanding/lab/runner.py
+++ b/corallanding/lab/runner.py
@@ -10,7 +10,6 @@
 import sqlite3
 import sys
 import tempfile
-import time
 from pathlib import Path
 from typing import Any
 
@@ -27,7 +26,7 @@
 from .reporter import Reporter
 from .roster import RegistryRoster, Roster
 from .scenario import Scenario, steward_hcl
-from .trace import Trace, clock
+from .trace import Trace, clock, wall
 
 
 def free_port() -> int:
@@ -88,17 +87,20 @@
         self.roster = Roster(self.trace) if scenario.stewards == 1 else RegistryRoster(self.trace)
         self.forwarders: list[Forwarder] = []
         self.processes: dict[int, asyncio.subprocess.Process | Successor] = {}
-        self.control = str(Path(tempfile.mkdtemp(prefix="corallanding-")) / "control")
+        self.control = ""
         self.upgrades: list[float] = []  # ms that each took
         self.lives = 0
         self.life: dict[int, int] = {}
-        self.ports = [free_port() for _ in range(scenario.stewards)]
-        self.doors = [free_port() for _ in range(scenario.stewards)]
+        self.ports = [self.new_port() for _ in range(scenario.stewards)]
+        self.doors = [self.new_port() for _ in range(scenario.stewards)]
         self.polls: list[dict[str, float]] = []
         self.tasks: set[asyncio.Task[Any]] = set()
         self.begun, self.lost = 0.0, 0
         self.reporter: Reporter | None = None
-        self.reports_port = free_port()
+        self.reports_port = self.new_port()
+
+    def new_port(self) -> int:
+        return free_port()
 
     # ---- hosts and what the list hears of them ----------------------------------------------------------
 
@@ -119,7 +121,7 @@
     async def bring_up(self, h: Host, cold: bool = True) -> None:
         if h.fallen:
             return  # it fell over: it stays down
-        await h.start(cold, time.time() * 1000.0)
+        await h.start(cold, wall())
         self.registry(h, "up", 0.0 if not cold else self.scenario.roster.add_ms)
 
     def registry(self, h: Host, state: str, late: float | None = None) -> None:
@@ -279,26 +281,34 @@
         spec = ClientSpec(s.traffic.retries, s.traffic.try_share, s.traffic.backoff_ms)
         self.clients = Clients(self.forwarders, operations, spec, traffic, self.trace)
 
-    async def run(self) -> dict[str, Any]:
-        s = self.scenario
+    def prepare(self) -> None:
         self.out.mkdir(parents=True, exist_ok=True)
         for old in [*self.out.glob("store*.db*"), *self.out.glob("steward*.rec"), *self.out.glob("steward*.log")]:
             old.unlink()
+
+    def configure(self, reports_key: str) -> None:
+        """Writes each steward's configuration."""
+        s, reports = self.scenario, f"127.0.0.1:{self.reports_port}"
+        if any(f.kind == "upgrade" for f in s.fault):
+            self.control = str(Path(tempfile.mkdtemp(prefix="corallanding-")) / "control")
+        for me in range(s.stewards):
+            listen, door, roster = [f"127.0.0.1:{p}" for p in (self.ports[me], self.doors[me], self.roster.port)]
+            store = str(self.named("store", me, ".db").resolve())
+            text = steward_hcl(
+                s, listen, door, roster, store, self.seed, self.laxer, reports, reports_key, me, self.control
+            )
+            self.named("steward", me, ".hcl").write_text(text)
+
+    async def run(self) -> dict[str, Any]:
+        s = self.scenario
+        self.prepare()
         await self.build()
         key = b""
         if s.load_reports:
             key = b"a key of the lab's own" if s.load_reports.signed else b""
             (self.out / "reports.key").write_bytes(key)
             self.reporter = Reporter(self, s.load_reports, self.reports_port, key)
-        key_file = str((self.out / "reports.key").resolve()) if key else ""
-        reports = f"127.0.0.1:{self.reports_port}"
-        for me in range(s.stewards):
-            where = [f"127.0.0.1:{p}" for p in (self.ports[me], self.doors[me], self.roster.port)]
-            store = str(self.named("store", me, ".db").resolve())
-            listen, door, roster = where
-            control = self.control if any(f.kind == "upgrade" for f in s.fault) else ""
-            text = steward_hcl(s, listen, door, roster, store, self.seed, self.laxer, reports, key_file, me, control)
-            self.named("steward", me, ".hcl").write_text(text)
+        self.configure(str((self.out / "reports.key").resolve()) if key else "")
         try:
             for me in range(s.stewards):
                 await self.start_steward(me)
@@ -336,11 +346,8 @@
         """Lines of the steward's tables that a joined forwarder lacks, or has beyond them, once all is quiet."""
         lost = 0
         for _ in range(60):
-            tables: dict[int, set[int]] = {}
             try:
-                for door in self.doors:
-                    _, page = await get(door, "/tables")
-                    tables |= {int(t): {int(h) for h in row} for t, row in json.loads(page)["tables"].items()}
+                tables = await self.laid()
             except (OSError, asyncio.IncompleteReadError):
                 await asyncio.sleep(0.1)
                 continue
@@ -351,6 +358,14 @@
             await asyncio.sleep(0.1)
         return lost
 
+    async def laid(self) -> dict[int, set[int]]:
+        """Tables as the stewards have them. Raises OSError if one does not answer."""
+        tables: dict[int, set[int]] = {}
+        for door in self.doors:
+            _, page = await get(door, "/tables")
+            tables |= {int(t): {int(h) for h in row} for t, row in json.loads(page)["tables"].items()}
+        return tables
+
     def spawn(self, work: Any) -> None:
         self.tasks.add(asyncio.get_running_loop().create_task(work))
 
@@ -388,10 +403,14 @@
         result["publisher"], result["lives"], result["lines_lost"] = s.publisher, self.lives, self.lost
         if s.load_reports and self.polls:
             result["load_reports"] = {k: v for k, v in self.polls[-1].items() if k not in ("t", "waiting", "ack_ms")}
+        self.keep(result)
+        return result
+
+    def keep(self, result: dict[str, Any]) -> None:
+        s, records = self.scenario, self.trace.records
         report.write(self.out, result, [f"{f.kind} at {f.at_s:g} s" for f in s.fault])
         report.charts(self.out, records, self.begun, self.polls, [(f.kind, f.at_s, f.for_s) for f in s.fault])
         self.trace.save(self.out / "trace.jsonl.gz")
-        return result
 
 
 def play(scenario: Scenario, out: Path, seed: int, laxer: bool = False) -> dict[str, Any]:
--- a/corallanding/lab/trace.py
+++ b/corallanding/lab/trace.py
@@ -4,15 +4,29 @@
 
 import gzip
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+_clock: Callable[[], float] = time.monotonic
+_wall: Callable[[], float] = time.time
+
+
+def use(clock: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time) -> None:
+    """Other clocks than the machine's, in seconds, for all stand-ins of this process: the emulator's."""
+    global _clock, _wall
+    _clock, _wall = clock, wall
+
 
 def clock() -> float:
-    """Milliseconds on the machine's monotonic clock: one clock for all witnesses of a run."""
-    return time.monotonic() * 1000.0
+    """Milliseconds on the monotonic clock: one clock for all witnesses of a run."""
+    return _clock() * 1000.0
+
+
+def wall() -> float:
+    return _wall() * 1000.0
 
 
 class Witness:
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -107,16 +107,18 @@
     def __init__(
         self, config: StewardConfig, decider: Callable[[api.Settings, int], core.Decider] = Assigner,
         record: str | None = None, path: str | None = None, store: Store | None = None,
+        monotonic: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time,
     ) -> None:  # fmt: skip
-        self.config, self.path, self.decider = config, path, decider
-        self.clock, self.metrics = Clock(), Metrics()
+        """monotonic, wall: s."""
+        self.config, self.path, self.decider, self.wall = config, path, decider, wall
+        self.clock, self.metrics = Clock(monotonic), Metrics()
         self.gate = Gate(self.clock)
         self.limits = link_limits(config)
         self.settings = settings_of(config)
         self.store: Store = store or SqliteStore(config.store.path, config.store.sync)
         self.recorder: Recorder | None = None
         self.record = record
-        self.links: set[LinkProtocol] = set()
+        self.links: dict[LinkProtocol, None] = {}
         self.forwarders: dict[int, LinkProtocol] = {}
         self.strangers: dict[LinkProtocol, None] = {}  # links that have not said hello, the oldest first
         f = config.forwarders
@@ -176,7 +178,7 @@
             self.stepped_at = self.clock()
         else:
             state = self.last_state(life.number)
-        now, wall = self.clock(), time.time() * 1000.0
+        now, wall = self.clock(), self.wall() * 1000.0
         self.engine = core.Engine(
             self.settings, self.seed(life.number), life, () if shared else charge, self.view.addresses, self.decider,
             OverloadLimits(c.steward.late_ms, c.steward.busy_share, c.steward.put_off_most_ms),
@@ -205,10 +207,7 @@
         needed = c.forwarders.most + c.forwarders.strangers_most + SPARE_DESCRIPTORS
         if (have := descriptors(needed)) < needed:
             log.warning("few descriptors: not all forwarders can be joined", have=have, needed=needed)
-        self.listener = Listener(
-            host, port, 1024, c.forwarders.accepts_per_s, lambda: LinkProtocol(self),
-            lambda why: self.gate.warn("link not taken", why=why), given.listening(host, port),
-        )  # fmt: skip
+        self.listener = self.make_listener(host, port, given.listening(host, port))
         self.servers.append(self.listener)
         if c.door:
             routes = {"/healthz": self.healthz, "/metrics": self.metrics_page, "/tables": self.tables_page}
@@ -440,6 +439,11 @@
         log.info("revived", life=state.life, steps=count, anew=len(anew), age_ms=round(now - state.now))
         return True
 
+    def make_listener(self, host: str, port: int, given: socket.socket | None) -> Listener:
+        rate = self.config.forwarders.accepts_per_s
+        said = lambda why: self.gate.warn("link not taken", why=why)  # noqa: E731
+        return Listener(host, port, 1024, rate, lambda: LinkProtocol(self), said, given)
+
     def log_path(self, number: int) -> str:
         return f"{self.config.store.snapshot_path}.log.{number}"
 
@@ -550,7 +554,7 @@
             c.reporting_least, c.changes_most, c.stuck_after_ms, processes_most=c.processes_most,
         )  # fmt: skip
         zero = ORIGIN - self.clock.zero * 1000.0
-        return Feed({**conf, "key": key}, policy, self.clock, lambda: time.time() * 1000.0, zero, self.reweigh, log)
+        return Feed({**conf, "key": key}, policy, self.clock, lambda: self.wall() * 1000.0, zero, self.reweigh, log)
 
     def reweigh(self) -> None:
         """Factors changed: the module hears of the hosts concerned, by the list that it reads."""
@@ -978,7 +982,7 @@
 
     def gone(self, link: LinkProtocol) -> None:
         """A link is over: its forwarder has left, unless a later link of its has taken the place."""
-        self.links.discard(link)
+        self.links.pop(link, None)
         self.strangers.pop(link, None)
         f = link.forwarder
         if self.forwarders.get(f) is link:
@@ -1022,7 +1026,7 @@
     def roster_rows(self, full: bool, version: int, rows: list[Any]) -> None:
         now = self.clock()
         before = dict(self.view.addresses)
-        event = self.view.take(now, time.time() * 1000.0, full, version, rows)
+        event = self.view.take(now, self.wall() * 1000.0, full, version, rows)
         for text in self.view.bad:
             self.metrics.bad_rows.inc()
             self.gate.warn("roster entry left out", why=text)
--- a/corallanding/steward/links.py
+++ b/corallanding/steward/links.py
@@ -40,7 +40,7 @@
         if len(s.links) >= f.most + f.strangers_most:
             self.end("full", "too many links")
             return
-        s.links.add(self)
+        s.links[self] = None
         if self.handed:
             s.forwarders[self.forwarder] = self
             return
