--- a/bench/handover.py
+++ b/bench/handover.py
@@ -126,7 +126,7 @@
     said = [json.loads(x) for x in Path(f"{folder}/log").read_text().splitlines() if x.startswith("{")]
     found: dict[str, Any] = {
         "hosts": hosts, "forwarders": forwarders, "slices": slices, "handed_over": answers.count("ok"),
-        "joined_anew": sum(1 for _, _, what, _ in rows if what == -1) - forwarders,
+        "joined_anew": sum(1 for t, _, what, _ in rows if what == -1 and t >= spans["calm"][0][0]),
         "silent_ms": [x["silent_ms"] for x in said if x["event"] == "handed over"],
         "whole_ms": [x["ms"] for x in said if x["event"] == "handed over"],
     }  # fmt: skip
