--- a/corallanding/lab/fleet/commands.py
+++ b/corallanding/lab/fleet/commands.py
@@ -82,6 +82,7 @@
     ] = None,
     runs: Runs = 40,
     margin: Annotated[float, typer.Option("--margin", min=0.0, help="a difference that does not matter")] = 0.002,
+    loopback: Annotated[bool, typer.Option("--loopback", help="real runs on sockets; few --workers then")] = False,
     error: Error = 0.05,
     seed: First = 1,
     out: Out = None,
@@ -91,7 +92,7 @@
     """Billed service of B against A on the same emulated days, with an interval. Stops when the answer is clear."""
     from . import page
     from .compare import compare as play
-    from .runs import Setting
+    from .runs import EMULATED, LOOPBACK, Setting
     from .settings import changed, setting
 
     with faults():
@@ -106,9 +107,12 @@
             two = Setting(f"{two.label} ({module or b})", two.scenario, two.config, two.module)
         if list(one.scenario.operation) != list(two.scenario.operation):
             raise ConfigFault(f"{b}: operation: other than those of {a}")
+        if loopback and (one.config or two.config or two.module):
+            raise ConfigFault("--loopback: goes with scenarios and the module as it is")
         with making(kept, workers, runs * 2) as by:
             found = play(one, two, runs, by, margin, error, seed, lambda w, n: print(
-                f"{n:4} pairs: {w.verdict}, {page.signed(w.difference)}", file=sys.stderr))  # fmt: skip
+                f"{n:4} pairs: {w.verdict}, {page.signed(w.difference)}", file=sys.stderr),
+                LOOPBACK if loopback else EMULATED)  # fmt: skip
         print(page.verdict(found))
         for name, i in found.others.items():
             print(f"  {name.replace('_', ' '):16} {page.signed(i)}")
--- a/corallanding/lab/fleet/compare.py
+++ b/corallanding/lab/fleet/compare.py
@@ -7,7 +7,7 @@
 
 from scipy import stats
 
-from .runs import FIGURES, LOOPBACK, Job, Pool, Row, Setting
+from .runs import EMULATED, FIGURES, LOOPBACK, Job, Pool, Row, Setting
 from .statistics import OPEN, Interval, Outcome, Word, covered, interval, judge, looks, outcomes, prediction
 
 LEAST = 8
@@ -56,7 +56,7 @@
 
 def compare(
     a: Setting, b: Setting, runs: int, pool: Pool, margin: float = 0.002, error: float = 0.05, first: int = 1,
-    looked: Callable[[Word, int], None] = lambda *_: None,
+    looked: Callable[[Word, int], None] = lambda *_: None, model: str = EMULATED,
 ) -> Compared:  # fmt: skip
     """Pairs of seeds from `first` on. Raises `RunFault`."""
     counts = looks(min(LEAST, runs), runs)
@@ -64,10 +64,10 @@
     rows_b: list[Row] = []
     for n, count in enumerate(counts, 1):
         seeds = range(first + len(rows_a), first + count)
-        jobs = [Job(s, seed) for seed in seeds for s in (a, b)]
+        jobs = [Job(s, seed, model) for seed in seeds for s in (a, b)]
         done = pool.all(jobs)
-        rows_a += [done[Job(a, seed).key] for seed in seeds]
-        rows_b += [done[Job(b, seed).key] for seed in seeds]
+        rows_a += [done[Job(a, seed, model).key] for seed in seeds]
+        rows_b += [done[Job(b, seed, model).key] for seed in seeds]
         service_a, service_b = [r.service for r in rows_a], [r.service for r in rows_b]
         word = judge(service_a, service_b, margin, error, len(counts), n == len(counts))
         looked(word, count)
--- a/corallanding/lab/fleet/page.py
+++ b/corallanding/lab/fleet/page.py
@@ -15,7 +15,7 @@
 
 from .compare import Compared, Predicted, Swept
 from .recorded import Day
-from .runs import Row
+from .runs import LOOPBACK, Row
 from .statistics import Interval, Outcome, outcomes
 
 STYLE = (
@@ -119,8 +119,9 @@
 def compared(c: Compared, margin: float, error: float) -> Page:
     page = Page(f"{c.a.label} and {c.b.label} on {c.a.scenario.name}")
     page.text(verdict(c))
+    where = "Stand-ins on loopback" if c.rows_a[0].model == LOOPBACK else "Emulated fleet"
     page.text(
-        f"Emulated fleet, no real one. Pairs share arrivals, work and faults by their seed. {c.looks} looks share an "
+        f"{where}, no real one. Pairs share arrivals, work and faults by their seed. {c.looks} looks share an "
         f"error of {error:g}; a difference under {margin:g} does not matter. docs/fleet.md says how far this goes."
     )
     page.table(
