--- a/corallanding/lab/fleet/compare.py
+++ b/corallanding/lab/fleet/compare.py
@@ -43,8 +43,8 @@
 
 
 def tipping(a: Sequence[float], b: Sequence[float]) -> Tipped | None:
-    """None where neither setting, nor both together, has two outcomes."""
-    parts = [p for p in (outcomes([*a, *b]), outcomes(a), outcomes(b)) if len(p) == 2]
+    """None where neither setting has two outcomes by itself: two settings that differ are no tipping day."""
+    parts = [p for p in (outcomes(a), outcomes(b)) if len(p) == 2]
     if not parts:
         return None
     below = (parts[0][0].high + parts[0][1].low) / 2
