--- a/corallanding/lab/fleet/commands.py
+++ b/corallanding/lab/fleet/commands.py
@@ -218,6 +218,9 @@
     other: Annotated[Optional[Path], typer.Option("--with", help="the other setting, in the same form")] = None,  # noqa: UP045
     put: Annotated[Optional[list[str]], typer.Option("--set", help="KEY=VALUE in the other setting")] = None,  # noqa: UP045
     day: Annotated[Optional[Path], typer.Option("--day", help="hosts, operations and clients of both")] = None,  # noqa: UP045
+    trace: Annotated[
+        Optional[Path], typer.Option("--trace", help="a trace of the same day: its arrivals, exactly")  # noqa: UP045
+    ] = None,
     every: Annotated[float, typer.Option("--every", min=1.0, help="seconds of a row")] = 60.0,
     runs: Annotated[int, typer.Option("--runs", min=1, max=200)] = 3,
     seed: First = 1,
@@ -231,10 +234,10 @@
     from .settings import changed, on_recording, setting
 
     with faults():
-        one, found = on_recording(setting(like, day), recording)
+        one, found = on_recording(setting(like, day), recording, trace)
         settings = [one]
         if other or put:
-            two = on_recording(setting(other, day), recording)[0] if other else one
+            two = on_recording(setting(other, day), recording, trace)[0] if other else one
             for pair in put or ():
                 key, _, value = pair.partition("=")
                 two = changed(two, key.strip(), value.strip())
@@ -249,6 +252,28 @@
             made.write(out)
 
 
+def report(
+    out: Annotated[Path, typer.Option("--out", help="a page: .html or .md")],
+    kept: Kept = KEPT,
+    name: Annotated[str, typer.Option("--scenario", help="only this one")] = "",
+) -> None:
+    """A page of all results that a file holds."""
+    from . import page
+    from .runs import Runs
+
+    with faults():
+        if not kept.is_file():
+            raise ConfigFault(f"{kept}: there is no such file of results")
+        runs = Runs(kept)
+        rows = runs.rows(name)
+        runs.close()
+        if not rows:
+            raise ConfigFault(f"{kept}: no runs" + (f" of {name}" if name else ""))
+        page.kept(rows).write(out)
+        print(f"{out}: {len(rows)} runs")
+
+
 COMMANDS: dict[str, Callable[..., None]] = {
     "compare": compare, "sweep": sweep, "search": search, "predict": predict, "replay-day": replay_day,
+    "report": report,
 }  # fmt: skip
--- a/corallanding/lab/fleet/page.py
+++ b/corallanding/lab/fleet/page.py
@@ -16,7 +16,7 @@
 from .compare import Compared, Predicted, Swept
 from .recorded import Day
 from .runs import LOOPBACK, Row
-from .statistics import Interval, Outcome, outcomes
+from .statistics import Interval, Outcome, interval, outcomes
 
 STYLE = (
     "body{font:15px/1.45 sans-serif;max-width:62em;margin:2em auto;padding:0 1em}table{border-collapse:collapse}"
@@ -307,3 +307,35 @@
     kinds = [x.what for x in day.seen if begin <= x.at < end]
     said += [f"{kinds.count(k)} {k}" for k in sorted(set(kinds))]
     return ", ".join(said)
+
+
+def kept(rows: Sequence[tuple[str, str, str, Row]]) -> Page:
+    """All that a file of results holds, a line for each scenario, setting, version and model."""
+    page = Page("Results")
+    groups: dict[tuple[str, str, str, str, str], list[Row]] = {}
+    for label, code, config, r in rows:
+        groups.setdefault((r.scenario, label, config, code, r.model), []).append(r)
+    page.text(f"{len(rows)} runs, {len(groups)} groups. `version` is a digest of the program's text.")
+    page.table(
+        ("scenario", "setting", "version", "model", "runs", "service", "its mean", "worst 10 s", "broken"),
+        [
+            (scenario, label, code[:8], model, len(found), told(outcomes([r.service for r in found])),
+             span(interval([r.service for r in found])), f"{mean(found, 'worst_10_s'):.4f}",
+             sum(bool(r.broken) for r in found))
+            for (scenario, label, _, code, model), found in sorted(groups.items())
+        ],
+    )  # fmt: skip
+
+    def draw(ax: Any) -> None:
+        for k, (_, found) in enumerate(sorted(groups.items())):
+            ax.plot([r.service for r in found], [k] * len(found), "|", color="C0", ms=10)
+        names = [f"{scenario}: {label}, {model}" for (scenario, label, _, _, model), _ in sorted(groups.items())]
+        ax.set_yticks(range(len(names)), names, fontsize=7)
+        ax.set_xlabel("billed service")
+
+    page.chart("billed service, a mark a run", figure(draw, min(40.0, 1.5 + 0.3 * len(groups))))
+    return page
+
+
+def span(i: Interval) -> str:
+    return f"{i.mean:.4f} ({i.low:.4f} to {i.high:.4f})"
--- a/corallanding/lab/fleet/recorded.py
+++ b/corallanding/lab/fleet/recorded.py
@@ -17,6 +17,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass, field
+from typing import Any
 
 import numpy as np
 
@@ -67,6 +68,7 @@
     filled: float = 0.0  # invocations that the gaps were given
     torn: bool = False
     by_second: list[float] = field(default_factory=list)  # share answered, as told
+    exact: Traffic | None = None  # arrivals of a trace, in place of the windows
 
 
 def joined(spans: list[tuple[float, float]], slack: float = 0.0) -> list[tuple[float, float]]:
@@ -189,6 +191,8 @@
 
 def arrivals(d: Day, seed: int, operations: list[OperationSpec]) -> Traffic:
     """Times within each window, forwarders by the rates they told, work by the scenario. The same for all settings."""
+    if d.exact:
+        return d.exact
     chance = np.random.default_rng([seed, 77])
     at, slice, which = [], [], []
     for w in d.windows:
@@ -205,3 +209,34 @@
     work = mean * np.exp(sigma * chance.standard_normal(len(times)) - sigma**2 / 2)
     forwarder = chance.choice(len(rates), len(times), p=rates / rates.sum())
     return Traffic(times, forwarder, slices, kinds, work)
+
+
+def of_trace(records: list[Any]) -> Traffic:
+    """The arrivals of a run that the lab or the emulator kept a trace of: exact, work and forwarders included, but for
+    invocations that never reached a host; those get their operation's mean work, and the forwarder of the one before.
+    Raises `NoDay`."""
+    asked = [r for r in records if r[3] == "asked"]
+    if not asked:
+        raise NoDay("no client asked anything in that trace")
+    begin = float(min(r[2] for r in asked))
+    forwarder: dict[int, int] = {}
+    work: dict[int, float] = {}
+    for r in records:
+        if r[3] in ("send", "none", "refused"):
+            inv = r[5] if r[3] == "none" else r[4]
+            forwarder.setdefault(inv, int(r[0].split()[1]))
+        elif r[3] == "take":
+            work.setdefault(r[4], float(r[10]))
+    asked.sort(key=lambda r: (r[2], r[4]))
+    operation = np.array([r[5] for r in asked])
+    known = np.array([work.get(r[4], np.nan) for r in asked])
+    for o in set(operation.tolist()):
+        mine = known[operation == o]
+        mean = float(np.nanmean(mine)) if not np.isnan(mine).all() else 1.0
+        known[(operation == o) & np.isnan(known)] = mean
+    by, last = [], 0
+    for r in asked:
+        last = forwarder.get(r[4], last)
+        by.append(last)
+    at = np.array([float(r[2]) - begin for r in asked])
+    return Traffic(at, np.array(by), np.array([r[6] for r in asked]), operation, known)
--- a/corallanding/lab/fleet/runs.py
+++ b/corallanding/lab/fleet/runs.py
@@ -25,11 +25,11 @@
 from ...config import StewardConfig
 from ...steward.engine import Decider
 from ...steward.record import read as read_recording
-from .. import report
+from .. import report, trace
 from ..publishers import PUBLISHERS
 from ..scenario import Scenario
 from .emulate import emulate
-from .recorded import day_of
+from .recorded import day_of, of_trace
 
 EMULATED, LOOPBACK = "emulated", "loopback"
 ROOT = Path(__file__).resolve().parents[2]
@@ -86,12 +86,14 @@
     config: StewardConfig | None = None
     module: str = ""
     recording: str = ""
+    trace: str = ""  # of the same day: its arrivals are exact
 
     @cached_property
     def named(self) -> tuple[str, str, str]:
         """Digests of code, scenario and configuration."""
         config = self.config.model_dump_json() if self.config else ""
-        config += hashlib.sha256(Path(self.recording).read_bytes()).hexdigest() if self.recording else ""
+        for file in (self.recording, self.trace):
+            config += hashlib.sha256(Path(file).read_bytes()).hexdigest() if file else ""
         return code_of(self.module), digest(self.scenario.model_dump_json()), digest(config)
 
 
@@ -127,14 +129,15 @@
     begun = time.perf_counter()
     if job.model == LOOPBACK:
         from ..runner import play
-        from ..trace import read
 
         with tempfile.TemporaryDirectory(prefix="corallanding-") as folder:
             result = play(s.scenario, Path(folder), job.seed)
-            records: Any = read(Path(folder) / "trace.jsonl.gz")
+            records: Any = trace.read(Path(folder) / "trace.jsonl.gz")
         started, simulated, events = first_asked(records), s.scenario.seconds, 0
     else:
         recorded = day_of(read_recording(s.recording), s.scenario.roster.notice_ms) if s.recording else None
+        if recorded and s.trace:
+            recorded.exact = of_trace(trace.read(Path(s.trace)))
         e = emulate(s.scenario, job.seed, s.config, decider, recorded=recorded)
         result, records, simulated, events = e.result, e.records, e.simulated, e.events
         started = e.begun
@@ -187,6 +190,13 @@
         )  # fmt: skip
         self.db.execute("delete from run where made <= (select max(made) from run) - ?", (self.most,))
 
+    def rows(self, name: str = "") -> list[tuple[str, str, str, Row]]:
+        """(label, code, configuration, row), in the order in which they were made; of one scenario if it is named."""
+        found = self.db.execute(
+            "select label, code, config, row from run where ? in ('', name) order by made", (name,)
+        ).fetchall()
+        return [(a, b, c, msgspec.msgpack.decode(raw, type=Row)) for a, b, c, raw in found]
+
     def close(self) -> None:
         self.db.close()
 
--- a/corallanding/lab/fleet/settings.py
+++ b/corallanding/lab/fleet/settings.py
@@ -4,16 +4,19 @@
 
 import json
 import re
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, TypeVar
 
+import msgspec
 from pydantic import BaseModel, ValidationError
 
 from ...config import ConfigFault, StewardConfig, load_steward
 from ...steward import record
+from .. import trace
 from ..scenario import Scenario, load_scenario
 from .emulate import NotEmulated, refuse
-from .recorded import Day, NoDay, day_of
+from .recorded import Day, NoDay, day_of, of_trace
 from .runs import Setting
 
 Model = TypeVar("Model", bound=BaseModel)
@@ -62,14 +65,19 @@
         raise ConfigFault(f"{path}: registry: hosts from a registry are not emulated")
 
 
-def on_recording(s: Setting, path: Path) -> tuple[Setting, Day]:
-    """The setting on a recorded day: what the recording tells takes the scenario's place. Raises `ConfigFault`."""
+def on_recording(s: Setting, path: Path, exact: Path | None = None) -> tuple[Setting, Day]:
+    """The setting on a recorded day: what the recording tells takes the scenario's place. exact: a trace of the same
+    day, for its arrivals. Raises `ConfigFault`."""
     try:
         day = day_of(record.read(path), s.scenario.roster.notice_ms)
+        if exact:
+            day.exact = of_trace(trace.read(exact))
     except NoDay as fault:
         raise ConfigFault(f"{path}: {fault}") from None
     except (record.RecordFault, OSError) as fault:
         raise ConfigFault(str(fault)) from None
+    except (EOFError, msgspec.DecodeError) as fault:
+        raise ConfigFault(f"{exact}: no trace: {fault}") from None
     c = s.scenario
     if day.slices != c.fleet.slices or day.operations != len(c.operation):
         has = f"{day.slices} slices and {day.operations} operations"
@@ -78,7 +86,8 @@
     traffic = c.traffic.model_copy(update={"per_s": max(1e-3, sum(w.count for w in day.windows) / day.length * 1000.0)})
     seconds = min(3600.0, day.length / 1000.0)
     scenario = c.model_copy(update={"fleet": fleet, "traffic": traffic, "seconds": seconds, "fault": []})
-    return Setting(s.label, scenario, s.config, s.module, str(path.resolve())), day
+    where = str(exact.resolve()) if exact else ""
+    return Setting(s.label, scenario, s.config, s.module, str(path.resolve()), where), day
 
 
 def value_of(text: str) -> Any:
@@ -111,5 +120,5 @@
     """The same with one key of the steward's configuration, if it has one, or of the scenario set otherwise."""
     label = label or f"{s.label} with {key} = {text}"
     if s.config is not None:
-        return Setting(label, s.scenario, put(s.config, key, text), s.module, s.recording)
-    return Setting(label, put(s.scenario, key, text), None, s.module, s.recording)
+        return replace(s, label=label, config=put(s.config, key, text))
+    return replace(s, label=label, scenario=put(s.scenario, key, text))
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -331,6 +331,27 @@
     assert abs(rows[0] - e.result["service"]) < 0.05, (rows, e.result["service"])
 
 
+def test_a_trace_of_the_day_gives_its_very_arrivals(tmp_path: Path) -> None:
+    e = emulate(SHORT, 3)
+    t = recorded.of_trace(e.records)
+    asked = [r for r in e.records if r[3] == "asked"]
+    work = {r[4]: r[10] for r in e.records if r[3] == "take"}
+    assert len(t.at) == len(asked) and t.slice.tolist() == [r[6] for r in asked]
+    assert all(t.work[k] == work[r[4]] for k, r in enumerate(asked) if r[4] in work) and not np.isnan(t.work).any()
+    with pytest.raises(recorded.NoDay, match="no client"):
+        recorded.of_trace([])
+
+
+def test_a_report_shows_what_the_file_holds(tmp_path: Path) -> None:
+    told = CliRunner().invoke(lab, ["report", "--kept", str(tmp_path / "no.db"), "--out", str(tmp_path / "r.md")])
+    assert told.exit_code == 2 and "no such file of results" in told.output + (told.stderr or "")
+    with pool(tmp_path / "runs.db", 1) as p:
+        for n in range(4):
+            p.runs.put(Job(Setting("a", SHORT), n), row(n, 0.9 + n / 1000))
+    told = CliRunner().invoke(lab, ["report", "--kept", str(tmp_path / "runs.db"), "--out", str(tmp_path / "r.md")])
+    assert told.exit_code == 0 and "| a |" in (tmp_path / "r.md").read_text()
+
+
 # ---- the search --------------------------------------------------------------------------------------------
 
 
