Load reports are emulated with their intake, floods and liars included

Change: the emulated loop has datagrams; the intake runs on it as a machine of its own, with its own triage, and dies and comes back with its steward. Reporters and floods of the lab take its clock.

--- a/corallanding/lab/fleet/emulate.py
+++ b/corallanding/lab/fleet/emulate.py
@@ -21,8 +21,9 @@
 from .. import trace
 from ..clients import OperationSpec, Traffic
 from ..publishers import PUBLISHERS
+from ..reporter import Reporter, flooding
 from ..runner import Lab
-from ..scenario import Scenario, steward_hcl
+from ..scenario import LoadReportsTraffic, Scenario, steward_hcl
 from .loop import Machine, SimLoop, run
 from .recorded import Day, arrivals
 from .steward import MemoryStore, SimSteward
@@ -40,8 +41,6 @@
     for f in s.fault:
         if f.kind in NOT_EMULATED:
             raise NotEmulated(f"fault {f.kind!r}: {NOT_EMULATED[f.kind]}")
-    if s.load_reports:
-        raise NotEmulated("load_reports: their intake is a process of its own, on datagrams")
     if s.stewards > 1:
         raise NotEmulated("stewards: more than one share slices through a registry's gRPC")
 
@@ -52,7 +51,8 @@
     s = Scenario.model_validate_json(scenario)
     with TemporaryDirectory() as folder:
         path = Path(folder) / "steward.hcl"
-        path.write_text(steward_hcl(s, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", f"{folder}/store.db", 1, False))
+        listen, door, roster, reports = [f"127.0.0.1:{n}" for n in (1, 2, 3, 4)]
+        path.write_text(steward_hcl(s, listen, door, roster, f"{folder}/store.db", 1, False, reports))
         return load_steward(path)
 
 
@@ -62,11 +62,12 @@
     def __init__(
         self, loop: SimLoop, scenario: Scenario, seed: int, config: StewardConfig | None = None,
         decider: Callable[[api.Settings, int], Decider] = Assigner, record: str | None = None,
-        recorded: Day | None = None,
+        recorded: Day | None = None, out: Path = Path("."),
     ) -> None:  # fmt: skip
-        """recorded: a day in place of the scenario's hosts, arrivals and faults."""
+        """recorded: a day in place of the scenario's hosts, arrivals and faults. out: a folder for the key of load
+        reports, if there are any."""
         self.loop, self.recorded = loop, recorded
-        super().__init__(scenario, Path("."), seed)
+        super().__init__(scenario, out, seed)
         self.base, self.decider, self.record = config or steward_of(scenario.model_dump_json()), decider, record
         self.memory, self.machine = MemoryStore(), Machine()
         self.steward: SimSteward | None = None
@@ -133,11 +134,18 @@
             update={"address": f"127.0.0.1:{self.roster.port}", "mode": s.roster.mode}
         )
         store = base.store.model_copy(update={"snapshot_path": None})
+        loads = None
+        if s.load_reports and base.load_reports:
+            listen = f"127.0.0.1:{self.reports_port}"
+            loads = base.load_reports.model_copy(update={"listen": listen, "key_file": reports_key or None})
         self.config = base.model_copy(
-            update={"steward": steward, "roster": roster, "store": store, "door": None, "load_reports": None,
+            update={"steward": steward, "roster": roster, "store": store, "door": None, "load_reports": loads,
                     "registry": None, "zones": s.zones}
         )  # fmt: skip
 
+    def make_reporter(self, conf: LoadReportsTraffic, key: bytes) -> Reporter:
+        return SimReporter(self, conf, self.reports_port, key)
+
     async def start_steward(self, me: int = 0) -> None:
         self.lives += 1
         self.machine = Machine()
@@ -168,6 +176,9 @@
             await asyncio.sleep(0.25)
             if self.steward and self.machine.alive:
                 point = {"t": (trace.clock() - self.begun) / 1000.0, "waiting": float(self.steward.channel.waiting)}
+                if feed := self.steward.feed:
+                    point |= {**feed.counts, **vars(feed.worth.counts)}
+                    point["load_factors_below_one"] = float(len(self.steward.factors))
                 self.polls.append(point)
 
     async def laid(self) -> dict[int, set[int]]:
@@ -181,6 +192,24 @@
         """The caller has it."""
 
 
+class SimReporter(Reporter):
+    async def flood(self, hosts: list[int], times: float, seconds: float) -> None:
+        """As the process of its own does on sockets, every two milliseconds."""
+        per_s = len(self.lab.hosts) * self.conf.processes * 1000.0 / self.conf.every_ms * times
+        packets = flooding({n: round(self.lab.hosts[n].started) for n in hosts}, self.key)
+        next(packets)
+        out, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=self.where
+        )
+        begun, sent = trace.clock(), 0
+        while (spent := trace.clock() - begun) < seconds * 1000.0:
+            for _ in range(int(per_s * spent / 1000.0) - sent):
+                out.sendto(packets.send((spent, trace.wall())))
+                sent += 1
+            await asyncio.sleep(0.002)
+        out.close()
+
+
 @dataclass
 class Emulated:
     result: dict[str, Any]  # as `result.json` of the lab
@@ -205,7 +234,8 @@
 
     async def work(loop: SimLoop) -> dict[str, Any]:
         trace.use(loop.time, loop.time)
-        lab = FleetLab(loop, scenario, seed, config, decider or PUBLISHERS[scenario.publisher], record, recorded)
+        by = decider or PUBLISHERS[scenario.publisher]
+        lab = FleetLab(loop, scenario, seed, config, by, record, recorded, Path(folder.name))
         made.append(lab)
         begun = loop.now
         result = await lab.run()
@@ -213,10 +243,12 @@
         return result
 
     begun = time.perf_counter()
+    folder = TemporaryDirectory(prefix="corallanding-")
     try:
         result = run(work, latency)
     finally:
         trace.use()
+        folder.cleanup()
     lab = made[0]
     took = time.perf_counter() - begun
     return Emulated(result, lab.trace.records, lab.begun, lab.polls, int(events[0]), took, events[1])
--- a/corallanding/lab/fleet/loop.py
+++ b/corallanding/lab/fleet/loop.py
@@ -181,6 +181,29 @@
         self.protocol.connection_lost(why)
 
 
+class Datagrams(asyncio.DatagramTransport):
+    """One end of a way without order or promise: what nobody hears is lost."""
+
+    def __init__(self, loop: SimLoop, protocol: Any, port: int, to: int) -> None:
+        super().__init__()
+        self.loop, self.protocol, self.port, self.to = loop, protocol, port, to
+        self.context, self.machine, self.closed = copy_context(), _machine.get(), False
+
+    def sendto(self, data: Any, addr: Any = None) -> None:
+        port = int(addr[1]) if addr else self.to
+        self.loop.call_later(self.loop.latency, self.loop.datagram, port, bytes(data), self.port)
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.loop.heard.pop(self.port, None)
+
+    abort = close
+
+
 class SimLoop(asyncio.BaseEventLoop):
     """latency: s, one way of every stream. `events`: callbacks that ran so far. Stands on a few names of asyncio that
     are not public (`_run_once`, `_ready`, handles' `_scheduled`); the tests say so if they change."""
@@ -193,6 +216,7 @@
         self.later: list[tuple[float, int, asyncio.TimerHandle]] = []
         self.counter = self.idle = 0  # idle: cancelled handles that still lie in the heap
         self.servers: dict[int, Server] = {}
+        self.heard: dict[int, Datagrams] = {}
         self.ports = 20_000
         self.kept: list[asyncio.Task[None]] = []
         self.ending = False  # what dead machines left is cleared away, too
@@ -275,6 +299,34 @@
     ) -> Any:
         return self.listen(factory, host or "127.0.0.1", port or 0)
 
+    async def create_datagram_endpoint(  # type: ignore[override]
+        self, factory: Any, local_addr: Any = None, remote_addr: Any = None, **_: Any
+    ) -> Any:
+        port = int(local_addr[1]) if local_addr else 0
+        if port == 0:
+            self.ports += 1
+            port = self.ports
+        if port in self.heard:
+            raise OSError(f"port {port} is taken")
+        protocol = factory()
+        self.heard[port] = end = Datagrams(self, protocol, port, int(remote_addr[1]) if remote_addr else 0)
+        protocol.connection_made(end)
+        return end, protocol
+
+    def datagram(self, port: int, data: bytes, whence: int) -> None:
+        end = self.heard.get(port)
+        if end and not (end.machine and not end.machine.alive):
+            self.call_soon(end.protocol.datagram_received, data, ("127.0.0.1", whence), context=end.context)
+
+    def pair(self, near: Machine | None) -> tuple[Stream, Stream]:
+        """A stream between the running process and `near`; neither has a protocol yet."""
+        one = Stream(self, copy_context(), _machine.get())
+        context = copy_context()
+        context.run(_machine.set, near)
+        other = Stream(self, context, near)
+        one.peer, other.peer = other, one
+        return one, other
+
     def listen(self, factory: Factory, host: str, port: int) -> Server:
         if port == 0:
             self.ports += 1
--- a/corallanding/lab/fleet/steward.py
+++ b/corallanding/lab/fleet/steward.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Sequence
 from typing import Any
 
 from ... import interface as api
 from ...config import StewardConfig
+from ...config.models import LoadReportsBlock
+from ...reports.feed import Feed
+from ...reports.handed import FeedState
+from ...reports.intake import Datagrams, Intake, attend
+from ...roster.view import loopback
 from ...steward.daemon import Steward
 from ...steward.engine import Decider
 from ...steward.links import LinkProtocol
 from ...store import Life, StoreFault, StoreHeld
-from .loop import Server, SimLoop
+from .loop import Machine, Server, SimLoop, Stream
 
 
 class MemoryStore:
@@ -79,6 +85,37 @@
         self.server.close()
 
 
+class SimIntake(Intake):
+    def kernel_drops(self) -> int:
+        return 0
+
+
+class SimFeed(Feed):
+    """The steward's end of an intake that is a machine of its own."""
+
+    loop: SimLoop
+
+    async def keep(self, handed: FeedState | None, sock: Any) -> None:
+        while not self.stopped:
+            machine = Machine()
+            near, far = self.loop.pair(machine)
+            near.begin(self)
+            machine.start(self.loop, self.intake(far, machine))
+            self.say(["hosts", self.hosts])
+            await self.until_gone()
+            if not self.stopped:
+                await asyncio.sleep(0.2)
+
+    async def intake(self, far: Stream, machine: Machine) -> None:
+        intake = SimIntake(self.conf, lambda: self.loop.now * 1000.0)
+        host, port = loopback(self.conf["listen"])
+        far.begin(intake)
+        udp, _ = await self.loop.create_datagram_endpoint(lambda: Datagrams(intake), (host, port))
+        await attend(intake, host, port)
+        udp.close()
+        machine.kill()
+
+
 class SimSteward(Steward):
     def __init__(
         self, loop: SimLoop, config: StewardConfig, decider: Callable[[api.Settings, int], Decider], store: MemoryStore,
@@ -90,6 +127,12 @@
     def make_listener(self, host: str, port: int, given: Any) -> Any:
         return SimListener(self.loop.listen(lambda: LinkProtocol(self), host, port))
 
+    def make_feed(self, c: LoadReportsBlock) -> Feed:
+        feed = super().make_feed(c)
+        feed.__class__ = SimFeed
+        feed.loop = self.loop  # type: ignore[attr-defined]
+        return feed
+
     async def live(self) -> None:
         await self.start()
         assert self.stopped is not None
--- a/corallanding/lab/reporter.py
+++ b/corallanding/lab/reporter.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 import time
+from collections.abc import Generator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, cast
 
@@ -16,7 +17,7 @@
 
 from ..reports.envelope import NO_ECHO, Head, pack, pack_json
 from .host import Host
-from .trace import clock
+from .trace import clock, wall
 
 if TYPE_CHECKING:
     from .runner import Lab
@@ -102,7 +103,7 @@
         echo = self.sockets[h.number].echo if self.conf.echo and not way.late else NO_ECHO
         head = Head(
             h.number, process, round(h.started), next(self.numbers), max(0.0, up - way.late),
-            time.time() * 1000.0 - way.late + skew, echo,
+            wall() - way.late + skew, echo,
         )  # fmt: skip
         json_form = self.conf.form == "json"
         data = body(load if way.says is None else way.says, json_form)
@@ -155,15 +156,13 @@
     """
     out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     out.setblocking(False)
-    numbers = [*hosts] * 9 + [4_000_000_000 + k for k in range(max(1, len(hosts)))]
-    text = body(0.9, False)
+    packets = flooding(hosts, key)
+    next(packets)
     begun, sent = time.monotonic(), 0
     while (spent := time.monotonic() - begun) < seconds:
         for _ in range(max(0, min(2_000, int(per_s * spent) - sent))):
-            host = numbers[sent % len(numbers)]
-            head = Head(host, sent % 7, hosts.get(host, 0), sent + 1, spent * 1000.0 + 1e7, time.time() * 1000.0)
             try:
-                out.sendto(pack(head, text, key if sent % 2 else None), ("127.0.0.1", port))
+                out.sendto(packets.send((spent * 1000.0, time.time() * 1000.0)), ("127.0.0.1", port))
             except OSError:
                 pass
             sent += 1
@@ -171,6 +170,17 @@
     return sent
 
 
+def flooding(hosts: dict[int, int], key: bytes | None) -> Generator[bytes, tuple[float, float], None]:
+    """Packet after packet, for (ms since it began, ms of the wall clock)."""
+    numbers = [*hosts] * 9 + [4_000_000_000 + k for k in range(max(1, len(hosts)))]
+    text, packet = body(0.9, False), b""
+    for sent in itertools.count():
+        spent, at = yield packet
+        host = numbers[sent % len(numbers)]
+        head = Head(host, sent % 7, hosts.get(host, 0), sent + 1, spent + 1e7, at)
+        packet = pack(head, text, key if sent % 2 else None)
+
+
 if __name__ == "__main__":
     a = json.loads(sys.argv[1])
     pour(a["port"], {int(k): v for k, v in a["hosts"].items()}, a["per_s"], a["seconds"], bytes.fromhex(a["key"]))
--- a/corallanding/lab/runner.py
+++ b/corallanding/lab/runner.py
@@ -25,7 +25,7 @@
 from .net import Net
 from .reporter import Reporter
 from .roster import RegistryRoster, Roster
-from .scenario import Scenario, steward_hcl
+from .scenario import LoadReportsTraffic, Scenario, steward_hcl
 from .trace import Trace, clock, wall
 
 
@@ -314,7 +314,7 @@
         if s.load_reports:
             key = b"a key of the lab's own" if s.load_reports.signed else b""
             (self.out / "reports.key").write_bytes(key)
-            self.reporter = Reporter(self, s.load_reports, self.reports_port, key)
+            self.reporter = self.make_reporter(s.load_reports, key)
         self.configure(str((self.out / "reports.key").resolve()) if key else "")
         try:
             for me in range(s.stewards):
@@ -347,6 +347,9 @@
         self.trace.end()
         return self.judged()
 
+    def make_reporter(self, conf: LoadReportsTraffic, key: bytes) -> Reporter:
+        return Reporter(self, conf, self.reports_port, key)
+
     def begin_faults(self) -> None:
         faults = Faults(self)
         for fault in self.scenario.fault:
--- a/corallanding/reports/intake.py
+++ b/corallanding/reports/intake.py
@@ -13,6 +13,7 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any, cast
@@ -88,8 +89,8 @@
 class Intake(asyncio.Protocol):
     """conf: listen, sender_rate, sender_burst, processes_most, reports_per_s, tick_ms, streams_most, key (hex)."""
 
-    def __init__(self, conf: dict[str, Any]) -> None:
-        self.conf = conf
+    def __init__(self, conf: dict[str, Any], clock: Callable[[], float] = now) -> None:
+        self.conf, self.clock = conf, clock
         self.triage = Triage(conf["sender_rate"], conf["sender_burst"], conf["processes_most"])
         self.key = bytes.fromhex(conf["key"]) if conf["key"] else None
         self.udp: asyncio.DatagramTransport | None = None
@@ -112,7 +113,7 @@
             self.triage.counts.came += 1
             self.forged += 1  # before triage: a forger must not take the slot of whom it claims to be
             return False
-        return self.triage.come(now(), who, (data, whence))
+        return self.triage.come(self.clock(), who, (data, whence))
 
     def turn(self) -> None:
         """A tick's share of the budget: check, parse, hand on, and answer with the steward's tick."""
@@ -194,8 +195,13 @@
     udp.bind((host, port))
     udp.setblocking(False)
     await loop.create_datagram_endpoint(lambda: Datagrams(intake), sock=udp)
-    server = await loop.create_server(lambda: Stream(intake), host, udp.getsockname()[1], backlog=512)
-    intake.say(["ready", udp.getsockname()[1]])
+    await attend(intake, host, udp.getsockname()[1])
+
+
+async def attend(intake: Intake, host: str, port: int) -> None:
+    """From the moment at which datagrams are heard until the steward is gone."""
+    server = await asyncio.get_running_loop().create_server(lambda: Stream(intake), host, port, backlog=512)
+    intake.say(["ready", port])
     intake.turn()
     intake.tell_counts()
     await intake.over
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -202,6 +202,16 @@
     assert emulate(SABOTAGE, 1).result["rules"][BREAKS[name]]["kept"] is True
 
 
+def test_load_reports_in_trouble_are_emulated_with_their_intake() -> None:
+    """The day of tests/reports.hcl: a flood, a liar, an hour-old sender, skewed clocks, losses, kill -9 in mid-flood."""
+    day = load_scenario(HERE / "reports.hcl")
+    e = emulate(day, 1)
+    assert [r["kept"] for r in e.result["rules"]] == [True] * 5 and e.result["lives"] == 2
+    counts = e.result["load_reports"]
+    assert all(counts[end] > 0 for end in ("counted", "forged", "unknown", "doubtful", "loud")), counts
+    assert emulate(day, 1).records == e.records
+
+
 def test_what_is_not_emulated_is_refused_by_name() -> None:
     with pytest.raises(NotEmulated, match="upgrade"):
         emulate(HARD.model_copy(update={"fault": [Fault(kind="upgrade", at_s=1)]}), 1)
