A steward that another fault has killed is not started twice

Cause: found by lab search: two kills of one steward that overlap; the second fault started it again while it ran.

Change: a fault restarts only what it killed itself, on sockets and emulated.

--- a/corallanding/lab/faults.py
+++ b/corallanding/lab/faults.py
@@ -248,9 +248,10 @@
                 before = {x.number: x.seq for x in self.lab.forwarders}
             await asyncio.sleep(0.002)
         which = f.on[0] % self.lab.scenario.stewards if f.on else 0
-        await self.lab.kill_steward(which)
+        died = await self.lab.kill_steward(which)
         await self.wait(f)
-        await self.lab.start_steward(which)
+        if died:  # else another fault has killed it, and starts it again
+            await self.lab.start_steward(which)
 
     async def upgrade(self, f: Fault) -> None:
         """size handovers to a new process, spread evenly over the time."""
--- a/corallanding/lab/fleet/emulate.py
+++ b/corallanding/lab/fleet/emulate.py
@@ -172,8 +172,10 @@
             if task.done():
                 raise RuntimeError(f"the steward did not start: {task.exception()!r}")
 
-    async def kill_steward(self, me: int = 0) -> None:
+    async def kill_steward(self, me: int = 0) -> bool:
+        alive = self.machines[me].alive
         self.machines[me].kill()
+        return alive
 
     async def freeze_steward(self, seconds: float) -> None:
         if (machine := self.machines[0]).alive:
--- a/corallanding/lab/runner.py
+++ b/corallanding/lab/runner.py
@@ -172,11 +172,14 @@
                     break
         raise RuntimeError(f"the steward did not start: see {self.named('steward', me, '.log')}")
 
-    async def kill_steward(self, me: int = 0) -> None:
+    async def kill_steward(self, me: int = 0) -> bool:
+        """False if it was dead already."""
         process = self.processes.get(me)
-        if process and process.returncode is None:
-            process.kill()
-            await process.wait()
+        if process is None or process.returncode is not None:
+            return False
+        process.kill()
+        await process.wait()
+        return True
 
     async def upgrade_steward(self) -> None:
         """As `corallanding upgrade` does: by the control socket. The process that took over is followed by number."""
