Labs side by side take ports of their own blocks; scenes that fail to begin end their steward

Cause: one of 81 parallel runs on loopback failed: a port that the kernel had chosen and that was let go of was taken by another run's stand-in before the steward bound it, and one spoke frames to the other. A test that failed while its scene was being set up left its steward running.

Change: ports come from a block by process number, below the range from which the kernel draws; scenes end what they began.

--- a/corallanding/lab/runner.py
+++ b/corallanding/lab/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import signal
@@ -28,11 +29,21 @@
 from .scenario import LoadReportsTraffic, Scenario, steward_hcl
 from .trace import Trace, clock, wall
 
+_ports = itertools.count()
+
 
 def free_port() -> int:
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return int(s.getsockname()[1])
+    """From a block of this process's own, below the range from which the kernel draws: labs that run side by side got
+    each other's ports when they let go of one that the kernel had chosen, and bound it later."""
+    for _ in range(1_000):
+        port = 10_000 + os.getpid() % 700 * 30 + next(_ports) % 30
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no port is free")
 
 
 async def get(port: int, path: str) -> tuple[int, bytes]:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -114,6 +114,14 @@
         self.folder, self.halt, self.more, self.peers, self.count = folder, halt, more, peers, count
 
     async def __aenter__(self) -> Scene:
+        try:
+            return await self.begin()
+        except BaseException:
+            if hasattr(self, "process"):
+                await self.__aexit__()
+            raise
+
+    async def begin(self) -> Scene:
         self.roster = Roster(Trace())
         await self.roster.start()
         for h in range(HOSTS):
@@ -146,7 +154,7 @@
         return self
 
     async def __aexit__(self, *why: object) -> None:
-        for f in self.forwarders:
+        for f in getattr(self, "forwarders", []):
             f.over = True
             f.task.cancel()
         try:
