--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -202,6 +202,13 @@
             # The seed of a life is its own: a restart must not draw the same chances again.
             seed, most = self.seed(life.number), c.record.most_mb * 1e6
             self.recorder = Recorder(self.record, self.settings, seed, most, revived)
+        elif handed and handed.recording:
+            try:
+                self.recorder = Recorder(
+                    handed.recording[0], self.settings, 0, c.record.most_mb * 1e6, after=handed.recording[1]
+                )
+            except OSError as fault:
+                log.error("the recording ends here", why=str(fault))
         if c.store.snapshot_path:
             if not revived:
                 self.drop_logs(2**63)  # of a life that nothing is left of
@@ -344,6 +351,10 @@
         if spoke:
             # The new one had the store, and may have sent and kept orders before it was ended.
             log.warning("the new process had begun to speak; tables are read again", life=life.number)
+            if self.recorder:
+                log.error("the recording ends here", why="the new process may have written to it")
+                self.recorder.close()
+                self.recorder = None
             self.engine.reconcile(self.clock(), life)
         self.resume(spoke)
         self.greet_all()
--- a/corallanding/steward/handed.py
+++ b/corallanding/steward/handed.py
@@ -91,6 +91,7 @@
     known: list[int]
     factors: dict[int, float]  # of load reports, as the module was told them
     feed: FeedState | None
+    recording: tuple[str, int] | None  # its file, and the bytes in it
 
 
 def channel_state(c: Channel) -> ChannelState:
@@ -140,7 +141,7 @@
 def hand(
     e: Engine, state: StewardState, channel: Channel, links: list[LinkState], joins: Joins,
     roster: tuple[int, list[api.HostEntry], dict[int, str], dict[int, float], list[int]],
-    factors: dict[int, float], feed: FeedState | None,
+    factors: dict[int, float], feed: FeedState | None, recording: tuple[str, int] | None = None,
 ) -> Handed:  # fmt: skip
     g = e.gather
     return Handed(
@@ -150,7 +151,7 @@
         [(*key, t.since, t.total, t.errored, t.weighed) for key, t in g.tallies.items()], (g.allowance, g.counted),
         channel_state(channel), links, [(f, h.last, h.wait) for f, h in joins.habits.items()],
         [(f, at, n) for at, n, f in sorted(joins.queue) if joins.waiting.get(f) == at],
-        (joins.allowance, joins.counted), *roster, factors, feed,
+        (joins.allowance, joins.counted), *roster, factors, feed, recording,
     )  # fmt: skip
 
 
--- a/corallanding/steward/handover.py
+++ b/corallanding/steward/handover.py
@@ -237,7 +237,8 @@
             fds += [pair.fileno()] if pair else []
         if s.peers:
             fds.append(s.peers.sock.fileno())
-        body = snapshots.pack(hand(s.engine, state, s.channel, rows, s.joins, roster, s.factors, feed))
+        kept = (str(s.recorder.path), s.recorder.written) if s.recorder else None
+        body = snapshots.pack(hand(s.engine, state, s.channel, rows, s.joins, roster, s.factors, feed, kept))
         fds += [x.transport.get_extra_info("socket").fileno() for x in links if x.transport]
 
         def work() -> None:
--- a/corallanding/steward/record.py
+++ b/corallanding/steward/record.py
@@ -48,10 +48,16 @@
     and `why`)."""
 
     def __init__(
-        self, path: str | Path, settings: api.Settings, seed: int, most: float, middle: bool = False
+        self, path: str | Path, settings: api.Settings, seed: int, most: float, middle: bool = False, after: int = 0
     ) -> None:
-        self.file: BinaryIO = open(path, "wb", buffering=0)
-        self.most, self.written, self.full, self.why = most, 0, False, ""
+        """after: bytes that the process before this one wrote, which goes on where that ended."""
+        self.path = Path(path).resolve()
+        self.file: BinaryIO = open(path, "r+b" if after else "wb", buffering=0)
+        self.most, self.written, self.full, self.why = most, after, False, ""
+        if after:
+            self.file.seek(after)
+            self.file.truncate()
+            return
         head = {"corallanding": VERSION, "seed": seed, "settings": settings, "middle": middle}
         self.item(head)
 
--- a/tests/test_revive.py
+++ b/tests/test_revive.py
@@ -252,10 +252,18 @@
             peer.hello(1)
             tables = await peer.until(frames.Tables)
             while not all(row for _, row in tables.tables) or len(tables.tables) < 4:
+                # Reads in a row wait longer each time, on a busy machine longer than a silent link may last.
                 peer.say(frames.Read())
-                seen = len(peer.got)
-                await until(lambda: True)
-                tables = await peer.until(frames.Tables, lambda f, seen=seen: f in peer.got[seen:])
+                before = sum(isinstance(f, frames.Tables) for f in peer.got)
+                for _ in range(100):
+                    peer.say(frames.Beat())
+                    try:
+                        await peer.until(type(None), within=0.1)
+                    except TimeoutError:
+                        pass
+                    if len(found := [f for f in peer.got if isinstance(f, frames.Tables)]) > before:
+                        tables = found[-1]
+                        break
             peer.got = []  # marks of orders before the last reading are not out any more
             return peer, tables
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -17,11 +17,14 @@
 import msgspec
 import pytest
 from sockets import CONFIG, until
+from typer.testing import CliRunner
 from xds.data.orca.v3.orca_load_report_pb2 import OrcaLoadReport
 
+from corallanding.cli.main import app
 from corallanding.lab.roster import Roster
 from corallanding.lab.trace import Trace
 from corallanding.reports.envelope import Head, pack
+from corallanding.steward import record
 from corallanding.store import SqliteStore
 from corallanding.upgrade.core import Do
 from corallanding.wire import frames
@@ -141,6 +144,7 @@
         self.path.write_text(text)
         with open(self.log, "wb") as out:
             command = [sys.executable, "-m", "corallanding.cli.main", "steward", "--config", str(self.path)]
+            command += ["--record", str(self.folder / "s.rec")]
             env = {**os.environ, "CORALLANDING_HALT": self.halt}
             self.process = subprocess.Popen(command, stdout=out, stderr=out, start_new_session=True, env=env)
         await until(lambda: self.words("ready"), 20)
@@ -234,6 +238,11 @@
             assert [w["life"] for w in s.words("ready")] == list(range(1, 12))
             # Each forwarder knows whose messages it holds, should that one die with a failing store.
             await until(lambda: all(f.lives == list(range(1, 12)) for f in s.forwarders))
+            # Eleven processes, one recording: one module runs through it from its beginning.
+            os.killpg(s.process.pid, signal.SIGKILL)
+            told = CliRunner().invoke(app, ["replay", str(tmp_path / "s.rec")])
+            assert told.exit_code == 0 and "no difference" in told.output, told.output
+            assert len(record.read(tmp_path / "s.rec").steps) > 40
 
     play(scene())
 
