--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -21,14 +21,12 @@
 import numpy as np
 import uvloop
 
-from corallanding.lab.roster import Roster
 from corallanding.lab.runner import free_port
-from corallanding.lab.trace import Trace
 from corallanding.wire import frames
 
 from .machine import machine
 from .run import RESULTS
-from .turns import CONFIG
+from .turns import CONFIG, listed
 
 SIZES = {"24": (24, 12, 144), "78": (78, 130, 468), "300": (300, 500, 1800), "1000": (1000, 1000, 6000)}
 PROCESSES, DRAINS, LINES_A_FORWARDER = 4, 12, 400.0  # lines a second that the channel gives each forwarder
@@ -144,6 +142,12 @@
     await asyncio.wait([asyncio.create_task(one(k)) for k in range(count)], timeout=seconds + 2)
 
 
+def split(forwarders: int) -> list[tuple[int, int]]:
+    """The first one and the count of each process."""
+    each = -(-forwarders // PROCESSES)
+    return [(k * each, min(each, forwarders - k * each)) for k in range(PROCESSES) if k * each < forwarders]
+
+
 async def child(*args: object) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(sys.executable, "-m", "bench.fanout", *map(str, args))
 
@@ -157,11 +161,7 @@
 
 async def play(size: tuple[int, int, int], folder: str, hostiles: int, storm: bool) -> dict[str, Any]:
     hosts, forwarders, slices = size
-    roster, port = Roster(Trace()), free_port()
-    await roster.start()
-    for h in range(hosts):
-        roster.rows[h] = {"host": h, "state": "up", "address": f"127.0.0.1:{20000 + h}", "zone": 0, "started": 0.0}
-    roster.changed()
+    roster, port = await listed(hosts), free_port()
     rate = LINES_A_FORWARDER * forwarders
     text = CONFIG.format(port=port, folder=folder, roster=roster.port, slices=slices, forwarders=forwarders,
                          rate=rate, queue=rate, lines=hosts + 2 * slices)  # fmt: skip
@@ -175,8 +175,7 @@
     settle = 6.0 + hosts / 60.0
     await asyncio.sleep(settle / 2)
     seconds = settle + DRAINS * 1.0 + 4.0 + (25.0 if storm else 0.0)
-    each = -(-forwarders // PROCESSES)
-    parts = [(k * each, min(each, forwarders - k * each)) for k in range(PROCESSES) if k * each < forwarders]
+    parts = split(forwarders)
     children = [await child("links", port, first, count, hosts, slices, seconds, f"{folder}/{first}.json")
                 for first, count in parts]  # fmt: skip
     if hostiles:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -132,6 +132,7 @@
     if not names or "loops" in names:
         kept["events_per_s"] = loops()
         print(json.dumps(kept["events_per_s"]), flush=True)
+        path.write_text(json.dumps(kept, indent=1) + "\n")
     for name in [n for n in names or SIZES if n in SIZES]:
         s = grown(SIZES[name])
         e = emulate(s, 1)
--- a/bench/handover.py
+++ b/bench/handover.py
@@ -22,14 +22,12 @@
 import numpy as np
 import uvloop
 
-from corallanding.lab.roster import Roster
 from corallanding.lab.runner import free_port
-from corallanding.lab.trace import Trace
 
-from .fanout import LINES_A_FORWARDER, PROCESSES, SIZES, Links, Raw, figures
+from .fanout import LINES_A_FORWARDER, SIZES, Links, Raw, figures, split
 from .machine import machine
 from .run import RESULTS
-from .turns import CONFIG
+from .turns import CONFIG, listed
 
 UPGRADES, BEAT, CAME = 6, 100.0, -3
 
@@ -61,11 +59,7 @@
 
 async def play(size: tuple[int, int, int], folder: str) -> dict[str, Any]:
     hosts, forwarders, slices = size
-    roster, port = Roster(Trace()), free_port()
-    await roster.start()
-    for h in range(hosts):
-        roster.rows[h] = {"host": h, "state": "up", "address": f"127.0.0.1:{20000 + h}", "zone": 0, "started": 0.0}
-    roster.changed()
+    roster, port = await listed(hosts), free_port()
     rate = LINES_A_FORWARDER * forwarders
     text = CONFIG.format(port=port, folder=folder, roster=roster.port, slices=slices, forwarders=forwarders,
                          rate=rate, queue=rate, lines=hosts + 2 * slices)  # fmt: skip
@@ -79,8 +73,7 @@
     settle = 8.0 + hosts / 40.0
     await asyncio.sleep(settle / 2)
     seconds = settle + UPGRADES * 9.0 + 10.0
-    each = -(-forwarders // PROCESSES)
-    parts = [(k * each, min(each, forwarders - k * each)) for k in range(PROCESSES) if k * each < forwarders]
+    parts = split(forwarders)
     words = [["links", port, first, count, hosts, slices, seconds, f"{folder}/{first}.json"] for first, count in parts]
     children = [await asyncio.create_subprocess_exec(sys.executable, "-m", "bench.handover", *map(str, w))
                 for w in words]  # fmt: skip
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -21,9 +21,7 @@
 import uvloop
 
 from corallanding.balance import Assigner
-from corallanding.lab.roster import Roster
 from corallanding.lab.runner import free_port
-from corallanding.lab.trace import Trace
 from corallanding.snapshot import file
 from corallanding.snapshot.module import ModuleState, dump, load
 from corallanding.wire import frames
@@ -31,7 +29,7 @@
 from .machine import machine
 from .run import RESULTS
 from .turn import SIZES, Fleet, settings
-from .turns import CONFIG, Raw
+from .turns import CONFIG, Raw, listed
 
 HOSTS, FORWARDERS, SLICES, KILLS = 78, 130, 468, 5
 
@@ -57,11 +55,7 @@
 
 async def play(snapshot: bool) -> dict[str, Any]:
     loop, chance = asyncio.get_running_loop(), np.random.default_rng(1)
-    roster, port = Roster(Trace()), free_port()
-    await roster.start()
-    for h in range(HOSTS):
-        roster.rows[h] = {"host": h, "state": "up", "address": f"127.0.0.1:{20000 + h}", "zone": 0, "started": 0.0}
-    roster.changed()
+    roster, port = await listed(HOSTS), free_port()
     firsts, levels, before, killed = list[float](), list[float](), list[float](), 0.0
     with tempfile.TemporaryDirectory() as folder:
         text = CONFIG.format(port=port, folder=folder, roster=roster.port, slices=SLICES, forwarders=FORWARDERS,
--- a/bench/turns.py
+++ b/bench/turns.py
@@ -101,18 +101,24 @@
         self.transport.write(frames.encode(frames.Sums(500.0, hosts, slices)))
 
 
+async def listed(hosts: int, started: float = 0.0) -> Roster:
+    """A roster at work, with hosts that nobody plays."""
+    roster = Roster(Trace())
+    await roster.start()
+    for h in range(hosts):
+        row = {"state": "up", "address": f"127.0.0.1:{20000 + h}", "zone": 0, "started": started}
+        roster.rows[h] = {"host": h, **row}
+    roster.changed()
+    return roster
+
+
 async def measure(
     hosts: int, forwarders: int, slices: int, phases: list[tuple[float, Callable[[], Any]]], more: str = "",
     started: float = 0.0,
 ) -> list[dict[str, Any]]:  # fmt: skip
     """A steward process under a fleet of raw links; each phase is (seconds, what begins it). Figures a phase."""
     with tempfile.TemporaryDirectory() as folder:
-        roster, port = Roster(Trace()), free_port()
-        await roster.start()
-        for h in range(hosts):
-            row = {"state": "up", "address": f"127.0.0.1:{20000 + h}", "zone": 0, "started": started}
-            roster.rows[h] = {"host": h, **row}
-        roster.changed()
+        roster, port = await listed(hosts, started), free_port()
         text = CONFIG.format(
             port=port, folder=folder, roster=roster.port, slices=slices, forwarders=forwarders,
             rate=max(10_000, slices * forwarders), queue=(8 + 2 * slices) * forwarders * 2,
--- a/corallanding/cli/main.py
+++ b/corallanding/cli/main.py
@@ -2,22 +2,18 @@
 
 from __future__ import annotations
 
-import sys
 from importlib.metadata import entry_points
 from pathlib import Path
 from typing import Annotated, Optional
 
 import typer
 
+from . import fail
+
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
 File = Annotated[Path, typer.Argument(exists=False)]
 
 
-def fail(text: object, code: int = 2) -> typer.Exit:
-    print(text, file=sys.stderr)
-    return typer.Exit(code)
-
-
 @app.command()
 def check(file: File) -> None:
     """Read a steward's configuration and say what is wrong with it."""
--- a/corallanding/lab/commands.py
+++ b/corallanding/lab/commands.py
@@ -3,23 +3,18 @@
 from __future__ import annotations
 
 import json
-import sys
 from pathlib import Path
 from typing import Annotated, Any, Optional
 
 import typer
 
+from ..cli import fail
 from ..config import ConfigFault
 from .fleet.commands import add
 
 lab = typer.Typer(no_args_is_help=True)
 
 
-def fail(text: object, code: int = 2) -> typer.Exit:
-    print(text, file=sys.stderr)
-    return typer.Exit(code)
-
-
 def told(result: dict[str, Any]) -> None:
     for r in result["rules"]:
         word = {True: "kept", False: "BROKEN", None: "not judged"}[r["kept"]]
--- a/corallanding/lab/fleet/commands.py
+++ b/corallanding/lab/fleet/commands.py
@@ -6,11 +6,13 @@
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Optional
 
 import typer
 
+from ...cli import fail
 from ...config import ConfigFault
 
 if TYPE_CHECKING:  # a steward's start goes by this file, and must not wait for what experiments stand on
@@ -25,11 +27,6 @@
 KEPT, WORKERS = Path("out/runs.db"), max(1, (os.cpu_count() or 2) - 1)
 
 
-def fail(text: object, code: int = 2) -> typer.Exit:
-    print(text, file=sys.stderr)
-    return typer.Exit(code)
-
-
 @contextmanager
 def faults() -> Iterator[None]:
     """Bad input and runs that could not be made, by name. Ctrl-C keeps what is done."""
@@ -92,19 +89,17 @@
     """Billed service of B against A on the same emulated days, with an interval. Stops when the answer is clear."""
     from . import page
     from .compare import compare as play
-    from .runs import EMULATED, LOOPBACK, Setting
-    from .settings import changed, setting
+    from .runs import EMULATED, LOOPBACK
+    from .settings import setting, with_pairs
 
     with faults():
         one = setting(a, day)
         two = setting(b or a, day, module)
         if b is None and not put and module is None:
             raise ConfigFault("B is missing: another file, --set KEY=VALUE or --module CHECKOUT")
-        for pair in put or ():
-            key, _, value = pair.partition("=")
-            two = changed(two, key.strip(), value.strip())
+        two = with_pairs(two, put)
         if two.label == one.label:
-            two = Setting(f"{two.label} ({module or b})", two.scenario, two.config, two.module)
+            two = replace(two, label=f"{two.label} ({module or b})")
         if list(one.scenario.operation) != list(two.scenario.operation):
             raise ConfigFault(f"{b}: operation: other than those of {a}")
         if loopback and (one.config or two.config or two.module):
@@ -231,17 +226,14 @@
     """The billed service that a recorded day would have had under each setting, minute by minute."""
     from . import page
     from .runs import Job
-    from .settings import changed, on_recording, setting
+    from .settings import on_recording, setting, with_pairs
 
     with faults():
         one, found = on_recording(setting(like, day), recording, trace)
         settings = [one]
         if other or put:
             two = on_recording(setting(other, day), recording, trace)[0] if other else one
-            for pair in put or ():
-                key, _, value = pair.partition("=")
-                two = changed(two, key.strip(), value.strip())
-            settings.append(two)
+            settings.append(with_pairs(two, put))
         seeds = range(seed, seed + runs)
         with making(kept, workers, runs * len(settings)) as by:
             done = by.all([Job(s, n) for s in settings for n in seeds])
--- a/corallanding/lab/fleet/emulate.py
+++ b/corallanding/lab/fleet/emulate.py
@@ -24,14 +24,13 @@
 from ..reporter import Reporter, flooding
 from ..runner import Lab
 from ..scenario import LoadReportsTraffic, Scenario, steward_hcl
-from .loop import Machine, SimLoop, run
+from .loop import LATENCY, Machine, SimLoop, run
 from .recorded import Day, arrivals
 from .steward import MemoryStore, SimSteward
 
 if TYPE_CHECKING:
     from .registry import LocalRegistry
 
-LATENCY = 0.000_2  # s, one way between two processes of one machine: what loopback and two loops take
 NOT_EMULATED = {"upgrade": "two processes share sockets there"}
 
 
@@ -126,8 +125,7 @@
                     h.slowness = x.size
 
     def new_port(self) -> int:
-        self.loop.ports += 1
-        return self.loop.ports
+        return self.loop.new_port()
 
     def prepare(self) -> None:
         """Nothing is written."""
@@ -252,26 +250,20 @@
     """Plays the scenario; the same arguments give the same result and records. Raises `NotEmulated`."""
     refuse(scenario)
     configure("json", "critical")
-    made: list[FleetLab] = []
-    events = [0, 0.0]
 
-    async def work(loop: SimLoop) -> dict[str, Any]:
+    async def work(loop: SimLoop) -> Emulated:
         trace.use(loop.time, loop.time)
         by = decider or PUBLISHERS[scenario.publisher]
         lab = FleetLab(loop, scenario, seed, config, by, record, recorded, Path(folder.name))
-        made.append(lab)
-        begun = loop.now
+        began = loop.now
         result = await lab.run()
-        events[:] = loop.events, loop.now - begun
-        return result
+        took = time.perf_counter() - begun
+        return Emulated(result, lab.trace.records, lab.begun, lab.polls, loop.events, took, loop.now - began)
 
     begun = time.perf_counter()
     folder = TemporaryDirectory(prefix="corallanding-")
     try:
-        result = run(work, latency)
+        return run(work, latency)
     finally:
         trace.use()
         folder.cleanup()
-    lab = made[0]
-    took = time.perf_counter() - begun
-    return Emulated(result, lab.trace.records, lab.begun, lab.polls, int(events[0]), took, events[1])
--- a/corallanding/lab/fleet/loop.py
+++ b/corallanding/lab/fleet/loop.py
@@ -1,8 +1,8 @@
 """An asyncio loop in simulated time, with streams between processes that exist only as objects.
 
 What runs on it is the very code that runs on sockets: timers fall due in their order, nothing waits, and two runs of
-one seed do the same to the last byte. Time stands still while code runs: what arithmetic costs is not in the figures
-unless `Machine.work` says so. Streams keep their order, take `latency` one way, and lose nothing: loss and cuts
+one seed do the same to the last byte. Time stands still while code runs: what arithmetic costs is not in the figures.
+Streams keep their order, take `latency` one way, and lose nothing: loss and cuts
 are the stand-ins' business (`lab.net`), as on loopback.
 """
 
@@ -19,6 +19,7 @@
 Factory = Callable[[], asyncio.BaseProtocol]
 _machine: ContextVar[Machine | None] = ContextVar("machine", default=None)
 START = 1_000.0  # s: where time begins
+LATENCY = 0.000_2  # s, one way between two processes of one machine: what loopback and two loops take
 BUFFER = 1 << 18  # bytes that a way takes before its sender is told to wait
 
 
@@ -32,10 +33,13 @@
         self.streams: dict[Stream, None] = {}
         self.servers: dict[Server, None] = {}
 
-    def start(self, loop: SimLoop, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    def inside(self) -> Context:
         context = copy_context()
         context.run(_machine.set, self)
-        task = context.run(lambda: loop.create_task(work))
+        return context
+
+    def start(self, loop: SimLoop, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = self.inside().run(lambda: loop.create_task(work))
         loop.kept.append(task)  # else a dead one's is collected, and complains
         return task
 
@@ -86,16 +90,16 @@
 class Stream(asyncio.Transport):
     """One end of a stream. `coming`: what is on its way to this end, each with the time it is there."""
 
-    def __init__(self, loop: SimLoop, context: Context, machine: Machine | None) -> None:
+    def __init__(self, loop: SimLoop, context: Context) -> None:
         super().__init__()
-        self.loop, self.context, self.machine = loop, context, machine
+        self.loop, self.context, self.machine = loop, context, context.get(_machine)
         self.protocol: Any = None
         self.peer: Stream | None = None
         self.coming: deque[tuple[float, bytes | BaseException | None]] = deque()
         self.waiting = 0  # bytes that were written and not read by the other end
         self.closing = self.lost = self.paused = self.told = False
-        if machine:
-            machine.streams[self] = None
+        if self.machine:
+            self.machine.streams[self] = None
 
     def begin(self, protocol: asyncio.BaseProtocol) -> None:
         self.protocol = protocol
@@ -210,7 +214,7 @@
 
     _ready: deque[asyncio.Handle]
 
-    def __init__(self, latency: float = 0.000_15) -> None:
+    def __init__(self, latency: float = LATENCY) -> None:
         self.now, self.latency, self.events = START, latency, 0
         super().__init__()
         self.later: list[tuple[float, int, asyncio.TimerHandle]] = []
@@ -255,13 +259,15 @@
             heapify(self.later)
             self.idle = 0
 
+    def owned(self, callback: Any, args: tuple[Any, ...], context: Context | None) -> tuple[Any, tuple[Any, ...]]:
+        """What runs in a machine runs by its leave."""
+        machine = context.get(_machine) if context else _machine.get()
+        return (machine.run, (callback, *args)) if machine and not self.ending else (callback, args)
+
     def call_soon(  # type: ignore[override]
         self, callback: Any, *args: Any, context: Context | None = None
     ) -> asyncio.Handle:
-        machine = context.get(_machine) if context else _machine.get()
-        if machine and not self.ending:
-            callback, args = machine.run, (callback, *args)
-        handle = asyncio.Handle(callback, args, self, context)
+        handle = asyncio.Handle(*self.owned(callback, args, context), self, context)
         self._ready.append(handle)
         return handle
 
@@ -275,10 +281,7 @@
     def call_at(  # type: ignore[override]
         self, when: float, callback: Any, *args: Any, context: Context | None = None
     ) -> asyncio.TimerHandle:
-        machine = context.get(_machine) if context else _machine.get()
-        if machine and not self.ending:
-            callback, args = machine.run, (callback, *args)
-        handle: Any = asyncio.TimerHandle(when, callback, args, self, context)
+        handle: Any = asyncio.TimerHandle(when, *self.owned(callback, args, context), self, context)
         handle._scheduled = True
         self.counter += 1
         heappush(self.later, (when, self.counter, handle))
@@ -302,10 +305,7 @@
     async def create_datagram_endpoint(  # type: ignore[override]
         self, factory: Any, local_addr: Any = None, remote_addr: Any = None, **_: Any
     ) -> Any:
-        port = int(local_addr[1]) if local_addr else 0
-        if port == 0:
-            self.ports += 1
-            port = self.ports
+        port = (int(local_addr[1]) if local_addr else 0) or self.new_port()
         if port in self.heard:
             raise OSError(f"port {port} is taken")
         protocol = factory()
@@ -318,19 +318,18 @@
         if end and not (end.machine and not end.machine.alive):
             self.call_soon(end.protocol.datagram_received, data, ("127.0.0.1", whence), context=end.context)
 
-    def pair(self, near: Machine | None) -> tuple[Stream, Stream]:
-        """A stream between the running process and `near`; neither has a protocol yet."""
-        one = Stream(self, copy_context(), _machine.get())
-        context = copy_context()
-        context.run(_machine.set, near)
-        other = Stream(self, context, near)
-        one.peer, other.peer = other, one
-        return one, other
+    def new_port(self) -> int:
+        self.ports += 1
+        return self.ports
+
+    def pair(self, there: Context) -> tuple[Stream, Stream]:
+        """A stream from here to a process that runs in a context; neither end has a protocol yet."""
+        near, far = Stream(self, copy_context()), Stream(self, there)
+        near.peer, far.peer = far, near
+        return near, far
 
     def listen(self, factory: Factory, host: str, port: int) -> Server:
-        if port == 0:
-            self.ports += 1
-            port = self.ports
+        port = port or self.new_port()
         if port in self.servers:
             raise OSError(f"port {port} is taken")
         self.servers[port] = server = Server(self, factory, host, port)
@@ -343,20 +342,14 @@
         server = self.servers.get(int(port or 0))
         if server is None:
             raise ConnectionRefusedError(f"nothing listens at port {port}")
-        near = Stream(self, copy_context(), _machine.get())
-        far = Stream(self, server.context, server.machine)
-        near.peer, far.peer = far, near
-
-        def taken() -> None:
-            far.begin(server.factory())
-
-        self.call_soon(taken, context=server.context)
+        near, far = self.pair(server.context)
+        self.call_soon(lambda: far.begin(server.factory()), context=server.context)
         protocol = factory()
         near.begin(protocol)
         return near, protocol
 
 
-def run(work: Callable[[SimLoop], Coroutine[Any, Any, Result]], latency: float = 0.000_15) -> Result:
+def run(work: Callable[[SimLoop], Coroutine[Any, Any, Result]], latency: float = LATENCY) -> Result:
     """Plays `work(loop)` to its end, as fast as it goes."""
     loop = SimLoop(latency)
     try:
--- a/corallanding/lab/fleet/runs.py
+++ b/corallanding/lab/fleet/runs.py
@@ -11,7 +11,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterable, Iterator
-from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from concurrent.futures import ProcessPoolExecutor, as_completed
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from functools import cached_property, lru_cache
@@ -29,7 +29,7 @@
 from ..publishers import PUBLISHERS
 from ..scenario import Scenario
 from .emulate import emulate
-from .recorded import day_of, of_trace
+from .recorded import Day, day_of, of_trace
 
 EMULATED, LOOPBACK = "emulated", "loopback"
 ROOT = Path(__file__).resolve().parents[2]
@@ -122,6 +122,15 @@
     return found
 
 
+@lru_cache(maxsize=2)
+def recorded_day(recording: str, of: str, notice: float) -> Day:
+    """The day of a recording; of: a trace of the same day, or "". Raises what their readers raise, and `NoDay`."""
+    day = day_of(read_recording(recording), notice)
+    if of:
+        day.exact = of_trace(trace.read(Path(of)))
+    return day
+
+
 def made(job: Job) -> Row:
     """Makes the run. Raises what the run raises."""
     s = job.setting
@@ -135,9 +144,7 @@
             records: Any = trace.read(Path(folder) / "trace.jsonl.gz")
         started, simulated, events = first_asked(records), s.scenario.seconds, 0
     else:
-        recorded = day_of(read_recording(s.recording), s.scenario.roster.notice_ms) if s.recording else None
-        if recorded and s.trace:
-            recorded.exact = of_trace(trace.read(Path(s.trace)))
+        recorded = recorded_day(s.recording, s.trace, s.scenario.roster.notice_ms) if s.recording else None
         e = emulate(s.scenario, job.seed, s.config, decider, recorded=recorded)
         result, records, simulated, events = e.result, e.records, e.simulated, e.events
         started = e.begun
@@ -225,21 +232,9 @@
             return rows
         if left and self.pool is None:
             self.pool = ProcessPoolExecutor(self.workers, multiprocessing.get_context("spawn"))
-        coming: dict[Future[Row], Job] = {}
-        todo = iter(left)
-        for job in todo:
-            assert self.pool
-            coming[self.pool.submit(made, job)] = job
-            if len(coming) >= self.workers * 2:
-                break
-        while coming:
-            done, _ = wait(coming, return_when=FIRST_COMPLETED)
-            for future in done:
-                job = coming.pop(future)
-                rows[job.key] = self.kept(job, future.result)
-                if more := next(todo, None):
-                    assert self.pool
-                    coming[self.pool.submit(made, more)] = more
+        coming = {self.pool.submit(made, job): job for job in left} if self.pool else {}
+        for future in as_completed(coming):
+            rows[coming[future].key] = self.kept(coming[future], future.result)
         return rows
 
     def kept(self, job: Job, result: Callable[[], Row]) -> Row:
--- a/corallanding/lab/fleet/settings.py
+++ b/corallanding/lab/fleet/settings.py
@@ -13,11 +13,10 @@
 
 from ...config import ConfigFault, StewardConfig, load_steward
 from ...steward import record
-from .. import trace
 from ..scenario import Scenario, load_scenario
 from .emulate import NotEmulated, refuse
-from .recorded import Day, NoDay, day_of, of_trace
-from .runs import Setting
+from .recorded import Day, NoDay
+from .runs import Setting, recorded_day
 
 Model = TypeVar("Model", bound=BaseModel)
 
@@ -69,9 +68,7 @@
     """The setting on a recorded day: what the recording tells takes the scenario's place. exact: a trace of the same
     day, for its arrivals. Raises `ConfigFault`."""
     try:
-        day = day_of(record.read(path), s.scenario.roster.notice_ms)
-        if exact:
-            day.exact = of_trace(trace.read(exact))
+        day = recorded_day(str(path), str(exact or ""), s.scenario.roster.notice_ms)
     except NoDay as fault:
         raise ConfigFault(f"{path}: {fault}") from None
     except (record.RecordFault, OSError) as fault:
@@ -122,3 +119,11 @@
     if s.config is not None:
         return replace(s, label=label, config=put(s.config, key, text))
     return replace(s, label=label, scenario=put(s.scenario, key, text))
+
+
+def with_pairs(s: Setting, pairs: list[str] | None) -> Setting:
+    """The same with each KEY=VALUE set."""
+    for pair in pairs or ():
+        key, _, value = pair.partition("=")
+        s = changed(s, key.strip(), value.strip())
+    return s
--- a/corallanding/lab/fleet/steward.py
+++ b/corallanding/lab/fleet/steward.py
@@ -4,11 +4,11 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from ... import interface as api
 from ...config import StewardConfig
-from ...config.models import LoadReportsBlock, RegistryBlock
+from ...config.models import RegistryBlock
 from ...reports.feed import Feed
 from ...reports.handed import FeedState
 from ...reports.intake import Datagrams, Intake, attend
@@ -96,12 +96,14 @@
 class SimFeed(Feed):
     """The steward's end of an intake that is a machine of its own."""
 
-    loop: SimLoop
+    @property
+    def loop(self) -> SimLoop:
+        return cast(SimLoop, asyncio.get_running_loop())
 
     async def keep(self, handed: FeedState | None, sock: Any) -> None:
         while not self.stopped:
             machine = Machine()
-            near, far = self.loop.pair(machine)
+            near, far = self.loop.pair(machine.inside())
             near.begin(self)
             machine.start(self.loop, self.intake(far, machine))
             self.say(["hosts", self.hosts])
@@ -120,6 +122,8 @@
 
 
 class SimSteward(Steward):
+    feed_kind = SimFeed
+
     def __init__(
         self, loop: SimLoop, config: StewardConfig, decider: Callable[[api.Settings, int], Decider], store: MemoryStore,
         record: str | None = None, registry: LocalRegistry | None = None,
@@ -138,12 +142,6 @@
         registry = self.registry
         return lambda: LocalClient(registry, g.timeout_ms)
 
-    def make_feed(self, c: LoadReportsBlock) -> Feed:
-        feed = super().make_feed(c)
-        feed.__class__ = SimFeed
-        feed.loop = self.loop  # type: ignore[attr-defined]
-        return feed
-
     async def live(self) -> None:
         await self.start()
         assert self.stopped is not None
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -106,6 +106,8 @@
 class Steward:
     """One steward. `start` raises `StoreFault` or `OSError` if it cannot run; `stopped` ends when it is over."""
 
+    feed_kind: type[Feed] = Feed
+
     def __init__(
         self, config: StewardConfig, decider: Callable[[api.Settings, int], core.Decider] = Assigner,
         record: str | None = None, path: str | None = None, store: Store | None = None,
@@ -593,7 +595,8 @@
             c.reporting_least, c.changes_most, c.stuck_after_ms, processes_most=c.processes_most,
         )  # fmt: skip
         zero = ORIGIN - self.clock.zero * 1000.0
-        return Feed({**conf, "key": key}, policy, self.clock, lambda: self.wall() * 1000.0, zero, self.reweigh, log)
+        conf["key"] = key
+        return self.feed_kind(conf, policy, self.clock, lambda: self.wall() * 1000.0, zero, self.reweigh, log)
 
     def reweigh(self) -> None:
         """Factors changed: the module hears of the hosts concerned, by the list that it reads."""
