The steward runs on the platform: relay, discovery, reports and probes on real sockets

The platform's protocol is one more way in and out: pure cores (resp, collector/core, relay/calls, relay/news, discovery/core) under thin protocol objects; the ordered inbox, timers and step are taken out of steward/engine.py (steward/turns.py) and serve both fronts. Hosts' names become numbers without a table (names.py).

--- a/corallanding/lab/fleet/emulate.py
+++ b/corallanding/lab/fleet/emulate.py
@@ -16,7 +16,7 @@
 from ... import interface as api
 from ...balance import Assigner
 from ...config import StewardConfig, load_steward
-from ...steward.engine import Decider
+from ...steward.turns import Decider
 from ...telemetry import configure
 from .. import trace
 from ..clients import OperationSpec, Traffic
--- a/corallanding/lab/fleet/runs.py
+++ b/corallanding/lab/fleet/runs.py
@@ -23,8 +23,8 @@
 
 from ... import interface as api
 from ...config import StewardConfig
-from ...steward.engine import Decider
 from ...steward.record import read as read_recording
+from ...steward.turns import Decider
 from .. import report, trace
 from ..publishers import PUBLISHERS
 from ..scenario import Scenario
--- a/corallanding/lab/fleet/steward.py
+++ b/corallanding/lab/fleet/steward.py
@@ -14,8 +14,8 @@
 from ...reports.intake import Datagrams, Intake, attend
 from ...roster.view import loopback
 from ...steward.daemon import Steward
-from ...steward.engine import Decider
 from ...steward.links import LinkProtocol
+from ...steward.turns import Decider
 from ...store import Life, StoreFault, StoreHeld
 from .loop import Machine, Server, SimLoop, Stream
 
--- a/corallanding/lab/publishers.py
+++ b/corallanding/lab/publishers.py
@@ -7,7 +7,7 @@
 
 from .. import interface as api
 from ..balance import Assigner
-from ..steward.engine import Decider
+from ..steward.turns import Decider
 
 
 class Hashing:
--- /dev/null
+++ b/corallanding/node/service.py
@@ -0,0 +1,263 @@
+"""The steward on the platform: wires discovery, relay, reports and probes to the module. Owns loop and clock."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import resource
+import time
+from collections.abc import Sequence
+
+from .. import interface as api
+from ..balance import Assigner
+from ..collector.core import Intake
+from ..collector.door import Door
+from ..discovery.agent import Agent
+from ..discovery.core import BadAnswer, View
+from ..names import name
+from ..probe.prober import Prober
+from ..relay.calls import Calls, Order
+from ..relay.link import CallLink, NewsLink
+from ..relay.news import News
+from ..steward.turns import Turns
+from .config import BadConfig, Config, address, read
+from .logs import Seldom, log
+
+READY_MOST = 3.0  # s after which signs of life are given whatever is missing
+RESERVED = 64  # descriptors kept from strangers: loop, log, relay, discovery, probes, collectors
+AHEAD = 400  # marks worked out at a time between steps
+PROBES_MOST = 16
+
+
+class Clock:
+    """Unix time in milliseconds, anchored once: a wall clock that steps does not move it."""
+
+    def __init__(self) -> None:
+        self.base = time.time() * 1000.0 - time.monotonic() * 1000.0
+
+    def __call__(self) -> float:
+        return self.base + time.monotonic() * 1000.0
+
+
+class Service:
+    def __init__(self, config: Config, path: str, trace: bool = False) -> None:
+        self.config, self.path = config, path
+        self.loop = asyncio.get_running_loop()
+        self.clock = Clock()
+        self.seldom = Seldom()
+        s = config.settings
+        self.turns = Turns(Assigner(s, config.seed))
+        self.view = View(config.places.zones, config.kinds)
+        self.news = News(s, config.places.zones)
+        self.calls = Calls(list(config.places.operations), s.messages_most, s.messages_span)
+        self.intake = Intake(s, config.places, self.view.dials, self.news.tables)
+        self.call_link = CallLink(config.store, self.calls, self.clock, self.stood)
+        self.news_link = NewsLink(config.store, self.news, self.clock, self.tell, self.under_way, self.said)
+        self.agent = Agent(config.discovery, self, s.list_on_request)
+        self.agent.said = lambda text: self.seldom.warn("discovery", text)
+        self.prober = Prober(
+            self.probed, self.clock, "/load" if s.load_in_probe else "/healthz", 2.0 * s.dial_timeout, PROBES_MOST,
+            where=address, load_in_body=True,
+        )  # fmt: skip
+        self.door: Door | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.due_at = float("inf")
+        self.stepped_at, self.took, self.took_most = 0.0, 0.0, 0.0
+        self.begun = self.clock()
+        self.ended = asyncio.Event()
+        self.warming: asyncio.TimerHandle | None = None
+        self.trace = trace
+        self.trace_last = 0
+
+    # ---- the life ----------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        sockets = self.config.sockets or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        strangers = max(16, min(256, sockets - 2 * RESERVED))
+        self.door = Door(self.config.listen, self.intake, strangers, self.tell, self.said)
+        saved = self.view.take(self.config.known, api.ListForm.SAVED)
+        if saved:
+            self.turns.event(self.clock(), saved)
+        self.bad_entries()
+        self.step()
+        self.news_link.start()
+        self.agent.start()
+        self.loop.call_later(READY_MOST, self.ready)
+        if self.trace:
+            self.loop.call_later(1.0, self.tracing)
+
+    def ready(self) -> None:
+        if self.door and not self.door.ready:
+            self.door.open()
+            gc.collect()
+            gc.freeze()
+            log.info("ready after %.0f ms: %d hosts, %d proxies, %d slices", self.clock() - self.begun,
+                     len(self.view.entries), len(self.news.proxies), len(self.news.tables))  # fmt: skip
+
+    def reload(self) -> None:
+        """SIGHUP: the new addresses; what else the file says is for the next start."""
+        try:
+            new = read(self.path)
+        except BadConfig as fault:
+            log.error("the old configuration stays: %s", fault)
+            return
+        log.info("configuration read again: discovery %s, store %s", new.discovery, new.store)
+        self.news_link.move(new.store)
+        self.call_link.move(new.store)
+        self.agent.move(new.discovery)
+
+    def stop(self) -> None:
+        """SIGTERM: no new connections; the outstanding call may end."""
+        log.info("ending")
+        if self.door:
+            self.door.close()
+        self.loop.create_task(self.end())
+
+    async def end(self) -> None:
+        until = self.clock() + 200.0
+        while self.calls.flying and self.clock() < until:
+            await asyncio.sleep(0.005)
+        self.ended.set()
+
+    async def run(self) -> None:
+        self.start()
+        await self.ended.wait()
+        self.call_link.close()
+        self.news_link.close()
+        self.agent.stop()
+        self.prober.stop()
+
+    # ---- what happens ------------------------------------------------------------------------------------
+
+    def said(self, text: str) -> None:
+        self.seldom.warn(text.split(":")[0][:60], text)
+
+    def tell(self, events: Sequence[api.Event]) -> None:
+        now = self.clock()
+        for e in events:
+            if isinstance(e, api.SliceGiven) and not e.on:
+                self.calls.forget(e.slice)
+            self.turns.event(now, e)
+        self.wake()
+
+    def listed(self, body: bytes) -> bool:
+        try:
+            answer = self.view.decode(body)
+        except BadAnswer as fault:
+            self.seldom.warn("discovery", f"discovery: an answer that cannot be read: {fault}")
+            return False
+        event = self.view.take(answer)
+        self.bad_entries()
+        if event or self.agent.asked:
+            self.tell([event or api.Membership(api.ListForm.CHANGES, answer.seq)])
+        return True
+
+    def bad_entries(self) -> None:
+        for text in self.view.bad[:5]:
+            self.seldom.warn("entry", f"discovery: {text}")
+
+    @property
+    def version(self) -> int:
+        return self.view.version
+
+    def unlisted(self, why: str) -> None:
+        self.tell([api.Membership(api.ListForm.FAILED, self.view.version)])
+
+    def probed(self, e: api.ProbeDone) -> None:
+        self.tell([e])
+
+    def stood(self, orders: list[Order]) -> None:
+        for o in orders:
+            if isinstance(o, api.SetLine | api.ResetTable):
+                self.news.stands(o)
+        for text in self.calls.said:
+            self.said(text)
+        self.calls.said.clear()
+
+    def under_way(self) -> set[int]:
+        return {slice for slice in self.news.tables if self.calls.touches(slice)}
+
+    # ---- turns -------------------------------------------------------------------------------------------
+
+    def wake(self) -> None:
+        """A step is due: at once, or as soon as the last one lies back by the period and by what it took."""
+        now = self.clock()
+        at = max(now, self.stepped_at + max(self.config.settings.period, self.took))
+        if not self.turns.inbox:
+            if not self.turns.timers:
+                return
+            at = max(at, self.turns.timers[0][0])
+        if at < self.due_at:
+            if self.timer:
+                self.timer.cancel()
+            self.due_at = at
+            self.timer = self.loop.call_later(max(0.0, at - now) / 1000.0, self.step)
+
+    def step(self) -> None:
+        self.due_at, begun = float("inf"), self.clock()
+        self.turns.fall_due(begun)
+        events = self.turns.collect()
+        try:
+            actions = self.turns.deliver(begun, events)
+        except Exception:
+            # A defect to mend. The events of this step are lost, what was known before stands; its timers come again,
+            # or no turn would ever come. Could go on for good with a state that is not sound: the log tells.
+            log.exception("a step failed on %d events: %s", len(events), str(events)[:600])
+            again = self.config.settings.report_every
+            actions = [api.Remind(again, e.handle) for e in events if isinstance(e, api.Due)]
+        self.carry_out(begun, actions)
+        self.stepped_at = self.clock()
+        self.took = self.stepped_at - begun
+        self.took_most = max(self.took_most, self.took)
+        if self.door and not self.door.ready and self.news_link.settled_once:
+            self.ready()
+        self.wake()
+        if self.warming is None:
+            self.warming = self.loop.call_later(0.01, self.warm)
+
+    def warm(self) -> None:
+        """Marks ahead of need, a few at a time, so that the listener keeps answering."""
+        self.warming = None
+        if self.turns.ahead(AHEAD):
+            self.warming = self.loop.call_later(0.01, self.warm)
+
+    def carry_out(self, now: float, actions: list[api.Action]) -> None:
+        orders: list[Order] = []
+        for a in actions:
+            match a:
+                case api.SetLine() | api.Level() | api.Cordon() | api.ResetTable() | api.Mark():
+                    orders.append(a)
+                case api.Remind():
+                    self.turns.remind(now + a.after, a.handle)
+                case api.Probe():
+                    self.prober.ask(a.host, self.view.dials.get(a.host, ""))
+                case api.Follow():
+                    self.agent.follow(a.on)
+                case api.FetchList():
+                    self.agent.fetch()
+                case api.Note():
+                    log.debug("module: %s", a.text)
+                case api.Point() | api.Tell():
+                    self.said(f"the platform has no way to do this: {a}")
+        if orders:
+            self.calls.order(orders)
+            self.call_link.kick()
+
+    # ---- what it believes --------------------------------------------------------------------------------
+
+    def tracing(self) -> None:
+        self.loop.call_later(1.0, self.tracing)
+        hosts = self.turns.module.hosts.values() if isinstance(self.turns.module, Assigner) else []
+        crowd = sorted(((h.stress, h.load, h.fair, name(h.id)) for h in hosts if h.listed), reverse=True)
+        worst = " ".join(f"{n}:{s:.2f}/{x:.1f}/{f:.1f}" for s, x, f, n in crowd[:4])
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        log.info(
+            "trace list=%d hosts=%d pooled=%d proxies=%d slices=%d calls=%s waiting=%d news=%.0f breaks=%d "
+            "reports=%d spoilt=%s ended=%s step=%.1f/%.1f cpu=%.2f rss=%d worst=%s",
+            self.view.version, len(self.view.entries), sum(h.pooled for h in hosts), len(self.news.proxies),
+            len(self.news.tables), self.calls.count, len(self.calls.waiting),
+            self.clock() - self.news_link.current.at if self.news_link.current else -1.0, self.news_link.breaks,
+            self.intake.taken, dict(self.intake.spoilt), dict(self.door.ended) if self.door else {}, self.took,
+            self.took_most, usage.ru_utime + usage.ru_stime, usage.ru_maxrss // 1024, worst,
+        )  # fmt: skip
+        self.took_most = 0.0
--- a/corallanding/probe/prober.py
+++ b/corallanding/probe/prober.py
@@ -2,7 +2,8 @@
 
 2xx is OK, 503 and 429 are FULL (draining, or too many probes at once), any other status ERROR; no answer in
 time is TIMEOUT, a refused or impossible connection UNREACHABLE, one that breaks RESET, an answer that is no
-HTTP OTHER. Load stands in the answer's `X-Load` header as `name=value` pairs, if at all.
+HTTP OTHER. Load stands in the answer's `X-Load` header as `name=value` pairs, or in its body, joined by commas, where
+that is asked for.
 """
 
 from __future__ import annotations
@@ -21,10 +22,12 @@
 
 
 class Probing(asyncio.Protocol):
-    def __init__(self, path: str, done: asyncio.Future[tuple[api.ProbeEnd, dict[str, float]]]) -> None:
-        self.done, self.path = done, path
+    def __init__(
+        self, path: str, done: asyncio.Future[tuple[api.ProbeEnd, dict[str, float]]], load_in_body: bool = False
+    ) -> None:
+        self.done, self.path, self.load_in_body = done, path, load_in_body
         self.parser = httptools.HttpResponseParser(self)
-        self.seen, self.load = 0, dict[str, float]()
+        self.seen, self.load, self.body = 0, dict[str, float](), b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)
@@ -37,14 +40,29 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"x-load":
-            for pair in value.decode("ascii", "replace").split()[:16]:
-                key, _, figure = pair.partition("=")
-                try:
-                    self.load[key] = float(figure)
-                except ValueError:
-                    continue
+            self.pairs(value.decode("ascii", "replace").split())
+
+    def pairs(self, pairs: list[str]) -> None:
+        for pair in pairs[:16]:
+            key, _, figure = pair.partition("=")
+            try:
+                self.load[key] = float(figure)
+            except ValueError:
+                continue
 
     def on_headers_complete(self) -> None:
+        if not self.load_in_body:
+            self.conclude()
+
+    def on_body(self, body: bytes) -> None:
+        self.body += body  # `data_received` bounds it
+
+    def on_message_complete(self) -> None:
+        if self.load_in_body:
+            self.pairs(self.body.decode("ascii", "replace").strip().split(","))
+            self.conclude()
+
+    def conclude(self) -> None:
         status = self.parser.get_status_code()
         good, full = 200 <= status < 300, status in (429, 503)
         self.finish(api.ProbeEnd.OK if good else api.ProbeEnd.FULL if full else api.ProbeEnd.ERROR)
@@ -69,7 +87,10 @@
     def __init__(
         self, done: Callable[[api.ProbeDone], None], clock: Callable[[], float], path: str = "/health",
         timeout: float = 250.0, most_in_flight: int = 16, most_waiting: int = 1_000,
+        where: Callable[[str], tuple[str, int]] = loopback, load_in_body: bool = False,
     ) -> None:  # fmt: skip
+        """where: what an address may be; raises ValueError on one that is not allowed."""
+        self.where, self.load_in_body = where, load_in_body
         self.done, self.clock, self.path, self.timeout = done, clock, path, timeout
         self.most_in_flight, self.most_waiting = most_in_flight, most_waiting
         self.waiting: deque[tuple[int, str]] = deque()
@@ -100,7 +121,8 @@
         end, load, transport = api.ProbeEnd.OTHER, dict[str, float](), None
         try:
             async with asyncio.timeout(self.timeout / 1000.0):
-                transport, _ = await loop.create_connection(lambda: Probing(self.path, done), *loopback(address))
+                probing = Probing(self.path, done, self.load_in_body)
+                transport, _ = await loop.create_connection(lambda: probing, *self.where(address))
                 end, load = await done
         except TimeoutError:
             end = api.ProbeEnd.TIMEOUT
--- /dev/null
+++ b/corallanding/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's relay: orders go out as calls (`calls`), news comes in (`news`), both pure; `link` holds sockets."""
--- /dev/null
+++ b/corallanding/relay/calls.py
@@ -0,0 +1,230 @@
+"""Orders that the relay has not confirmed, and calls made of them. Pure.
+
+One call is outstanding. Every order sets a state, so the newest of each kind and place is all that counts: what waits
+behind a call is merged, and a call of which nobody knows whether it was carried out goes back under what waits and is
+sent again with it. What the module ordered is never dropped but where the relay says it cannot be used.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from .. import interface as api
+from ..names import name
+
+CALL_MOST = 60_000  # bytes of orders in one call
+FIRST, AGAIN_MOST = 20.0, 500.0  # ms to wait after a call that failed, doubled each time up to the most
+
+Key = tuple[str, int, int]
+Order = api.SetLine | api.ResetTable | api.Cordon | api.Level | api.Mark
+
+# In a call that had to be cut, what comes first is there first: nobody loses a host before the new one stands.
+EMPTY, SHUT, ADD, TAKE, LET, LEVEL, MARK = range(7)
+
+
+def key(o: Order) -> Key:
+    match o:
+        case api.SetLine():
+            return ("line", o.slice, o.host)
+        case api.ResetTable():
+            return ("empty", o.slice, 0)
+        case api.Cordon():
+            return ("cordon", o.host, 0)
+        case api.Level():
+            return ("level", o.slice, o.operations)
+        case api.Mark():
+            return ("mark", 0, 0)
+
+
+def rank(o: Order) -> int:
+    match o:
+        case api.ResetTable():
+            return EMPTY
+        case api.Cordon():
+            return SHUT if o.on else LET
+        case api.SetLine():
+            return ADD if o.weight > 0 else TAKE
+        case api.Level():
+            return LEVEL
+        case api.Mark():
+            return MARK
+
+
+def encode(o: Order, operations: list[str]) -> bytes:
+    said: dict[str, Any]
+    match o:
+        case api.SetLine():
+            said = {"op": "SET", "table": o.slice, "endpoint": name(o.host), "w": o.weight}
+        case api.ResetTable():
+            said = {"op": "DEL", "table": o.slice}
+        case api.Cordon():
+            said = {"op": "OUT" if o.on else "IN", "endpoint": name(o.host)}
+        case api.Level():
+            chosen = [x for k, x in enumerate(operations) if o.operations >> k & 1]
+            said = {"op": "LIMIT", "table": "*" if o.slice == api.ALL_TABLES else o.slice, "for": chosen or "*",
+                    "gate": o.amount, "again": int(o.retry)}  # fmt: skip
+        case api.Mark():
+            said = {"op": "SYNC", "stamp": o.number, "set": int(o.everyone)}
+    return msgspec.json.encode(said)
+
+
+class Answer(msgspec.Struct):
+    id: Any = None
+    result: Any = None
+    error: Any = None
+
+
+@dataclass
+class Call:
+    """bytes: the line to send. orders: what it holds, in turn."""
+
+    id: int
+    line: bytes
+    orders: list[Order]
+
+
+class Calls:
+    """operations: their names. messages_most, span: the channel's cap on messages, 0 is none: resent calls count too,
+    as any of them may have been carried out."""
+
+    def __init__(self, operations: list[str], messages_most: int = 0, span: float = 10_000.0) -> None:
+        self.operations, self.messages_most, self.span = operations, messages_most, span
+        self.waiting: dict[Key, Order] = {}
+        self.flying: Call | None = None
+        self.sent: deque[float] = deque()  # when calls went out that may have become messages
+        self.counter, self.failed, self.not_before = 0, 0, 0.0
+        self.count = {"calls": 0, "unknown": 0, "refused": 0, "turned away": 0}
+        self.said: list[str] = []  # what staff should know; the owner takes it
+
+    def order(self, orders: Iterable[Order]) -> None:
+        for o in orders:
+            if isinstance(o, api.ResetTable):
+                for k in [k for k in self.waiting if k[0] == "line" and k[1] == o.slice]:
+                    del self.waiting[k]
+            self.waiting.pop(key(o), None)
+            self.waiting[key(o)] = o
+
+    def forget(self, slice: int) -> None:
+        """The slice is not in this steward's charge any more: what waits for it is void."""
+        for k in [k for k in self.waiting if k[0] in ("line", "empty", "level") and k[1] == slice]:
+            del self.waiting[k]
+
+    def touches(self, slice: int) -> bool:
+        """Whether anything of the slice's table is under way."""
+        flying = self.flying.orders if self.flying else []
+        rows = [*self.waiting.values(), *flying]
+        return any(isinstance(o, api.SetLine | api.ResetTable) and o.slice == slice for o in rows)
+
+    def next_at(self, now: float) -> float | None:
+        """When a call may go out; None while nothing waits or one is outstanding."""
+        if self.flying or not self.waiting:
+            return None
+        at = max(now, self.not_before)
+        while self.sent and self.sent[0] <= now - self.span:
+            self.sent.popleft()
+        if self.messages_most and len(self.sent) >= self.messages_most:
+            at = max(at, self.sent[0] + self.span)
+        return at
+
+    def next(self, now: float) -> Call | None:
+        """The call to be sent now, if any."""
+        at = self.next_at(now)
+        if at is None or at > now:
+            return None
+        size, orders, raw = 0, list[Order](), list[bytes]()
+        for o in sorted(self.waiting.values(), key=rank):  # stable: of a kind, in the order of their coming
+            line = encode(o, self.operations)
+            if orders and size + len(line) + 1 > CALL_MOST:
+                break  # a mark, last of all, goes with the last part only
+            size += len(line) + 1
+            orders.append(o)
+            raw.append(line)
+        for o in orders:
+            del self.waiting[key(o)]
+        self.counter += 1
+        head = b'{"jsonrpc":"2.0","id":%d,"method":"relay.apply","params":{"ops":[' % self.counter
+        self.flying = Call(self.counter, head + b",".join(raw) + b"]}}\n", orders)
+        self.sent.append(now)
+        self.count["calls"] += 1
+        return self.flying
+
+    # ---- outcomes ----------------------------------------------------------------------------------------
+
+    def answered(self, now: float, line: bytes) -> list[Order] | None:
+        """A line came. The orders that stand by it; None where it leaves unknown whether the call was carried out."""
+        call = self.flying
+        if call is None:
+            return []
+        try:
+            answer = msgspec.json.decode(line, type=Answer)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return None
+        if answer.id != call.id or isinstance(answer.id, bool):
+            return None
+        if answer.error is not None:
+            return self.refused(now, answer.error)
+        taken = answer.result.get("taken") if isinstance(answer.result, dict) else None
+        if not isinstance(taken, int) or isinstance(taken, bool) or not 0 <= taken <= len(call.orders):
+            return None
+        self.flying, self.failed, self.not_before = None, 0, 0.0
+        if taken < len(call.orders):
+            fault = call.orders[taken]
+            self.count["refused"] += 1
+            self.said.append(f"the relay cannot use {encode(fault, self.operations).decode()}: left out")
+            self.put_back(call.orders[taken + 1 :])
+        return call.orders[:taken]
+
+    def refused(self, now: float, error: Any) -> list[Order] | None:
+        """An error is the relay's word that nothing was carried out, if it names one that there is."""
+        said = str(error)
+        call = self.flying
+        assert call
+        if "Throttling" in said:
+            self.count["turned away"] += 1
+            self.sent.pop()
+            self.flying = None
+            self.put_back(call.orders)
+            self.back_off(now)
+            return []
+        if "ValidationError" in said:
+            self.count["refused"] += 1
+            self.sent.pop()
+            self.said.append(f"the relay calls this no call, it is dropped: {call.line[:300]!r}")
+            self.flying = None
+            return []
+        return None
+
+    def unknown(self, now: float) -> None:
+        """No answer, a break, an unreadable one: carried out, or not at all. It goes again, with what waits."""
+        call = self.flying
+        if call is None:
+            return
+        self.count["unknown"] += 1
+        self.flying = None
+        self.put_back(call.orders)
+        if self.failed:
+            self.back_off(now)
+        self.failed += 1
+
+    def unsent(self, now: float) -> None:
+        """There is no way to the relay: nothing was sent."""
+        if call := self.flying:
+            self.flying = None
+            self.sent.pop()
+            self.put_back(call.orders)
+        self.back_off(now)
+
+    def back_off(self, now: float) -> None:
+        self.not_before = now + min(AGAIN_MOST, FIRST * 2.0 ** min(self.failed, 10))
+        self.failed += 1
+
+    def put_back(self, orders: list[Order]) -> None:
+        """Under what waits: an order of the same kind and place that came later stands."""
+        emptied = {k[1] for k in self.waiting if k[0] == "empty"}
+        old = {key(o): o for o in orders if not (isinstance(o, api.SetLine) and o.slice in emptied)}
+        self.waiting = {**{k: o for k, o in old.items() if k not in self.waiting}, **self.waiting}
--- /dev/null
+++ b/corallanding/relay/news.py
@@ -0,0 +1,191 @@
+"""What the relay tells: proxies joined and left, marks applied, slices in charge and their lines. Pure.
+
+A connection with news says first what stands, without an end mark; the owner says when it holds that for whole
+(`settled`). What stood before and is not said again is gone; what is said again unchanged is no event.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from .. import interface as api
+from ..names import number
+
+
+class Notice(msgspec.Struct):
+    method: str = ""
+    params: dict[str, Any] = {}
+    result: Any = None
+    id: Any = None
+    error: Any = None
+
+
+class BadNews(Exception):
+    """A line of news that cannot be used; the text names it."""
+
+
+decoder = msgspec.json.Decoder(Notice)
+
+
+@dataclass
+class Standing:
+    """What a connection said so far of what stands."""
+
+    proxies: dict[int, api.ProxyJoined] = field(default_factory=dict)
+    tables: dict[int, dict[int, float]] = field(default_factory=dict)
+    acks: list[api.Event] = field(default_factory=list)
+
+
+def count(params: dict[str, Any], key: str, most: int) -> int:
+    value = params.get(key)
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value < most:
+        raise BadNews(f"{key}={value!r}")
+    return value
+
+
+def figure(params: dict[str, Any], key: str) -> float:
+    value = params.get(key, 0.0)
+    if not isinstance(value, int | float) or isinstance(value, bool) or not 0.0 <= value < 1e12:
+        raise BadNews(f"{key}={value!r}")
+    return float(value)
+
+
+class News:
+    """zones: names to places. The view outlives connections: `tables` are the lines as the store has them, kept true by
+    the owner with what the relay confirms (`stands`)."""
+
+    def __init__(self, settings: api.Settings, zones: dict[str, int]) -> None:
+        self.set, self.zones = settings, zones
+        self.proxies: dict[int, api.ProxyJoined] = {}
+        self.tables: dict[int, dict[int, float]] = {}
+        self.giving: dict[int, dict[int, float]] = {}  # slices given just now, whose lines still come
+
+    # ---- a line ------------------------------------------------------------------------------------------
+
+    def read(self, line: bytes) -> Notice:
+        """Raises BadNews."""
+        try:
+            return decoder.decode(line)
+        except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+            raise BadNews(f"{line[:80]!r}: {fault}") from None
+
+    def begun(self, s: Standing, n: Notice) -> None:
+        """A line of what stands on a new connection."""
+        p = n.params
+        match n.method:
+            case "attach":
+                joined = self.joined(p)
+                s.proxies[joined.proxy] = joined
+            case "detach":
+                s.proxies.pop(self.proxy(p), None)
+            case "done":
+                s.acks.append(self.acked(p))
+            case "owner":
+                slice = count(p, "shard", max(1, self.set.slices))
+                if p.get("set"):
+                    s.tables[slice] = {}
+                else:
+                    s.tables.pop(slice, None)
+            case "entry":
+                slice, host, weight = self.entry(p)
+                if slice in s.tables and weight > 0:
+                    s.tables[slice][host] = weight
+
+    def news(self, n: Notice) -> list[api.Event]:
+        """A line once what stands is known. A slice that is given waits for its lines: see `given`."""
+        p = n.params
+        match n.method:
+            case "attach":
+                joined = self.joined(p)
+                self.proxies[joined.proxy] = joined
+                return [joined]
+            case "detach":
+                proxy = self.proxy(p)
+                return [api.ProxyLeft(proxy)] if self.proxies.pop(proxy, None) else []
+            case "done":
+                ack = self.acked(p)
+                return [ack] if ack.proxy in self.proxies else []
+            case "owner":
+                slice = count(p, "shard", max(1, self.set.slices))
+                if p.get("set"):
+                    self.giving[slice] = {}
+                    return []
+                self.giving.pop(slice, None)
+                return [api.SliceGiven(slice, False)] if self.tables.pop(slice, None) is not None else []
+            case "entry":
+                slice, host, weight = self.entry(p)
+                rows = self.giving.get(slice)
+                if rows is None:
+                    return self.later(slice, host, weight)
+                if weight > 0:
+                    rows[host] = weight
+        return []
+
+    def later(self, slice: int, host: int, weight: float) -> list[api.Event]:
+        """A line of a slice that was given some time ago: an echo of an order, or its lines came late."""
+        rows = self.tables.get(slice)
+        if rows is None or weight <= 0 or host in rows:
+            return []
+        rows[host] = weight
+        return [api.OnRecord(slice, host, weight)]
+
+    def given(self) -> list[api.Event]:
+        """Slices given whose lines are whole by now, as the owner judges: the slice and its lines, in one step."""
+        out: list[api.Event] = []
+        for slice, rows in self.giving.items():
+            self.tables[slice] = rows
+            out.append(api.SliceGiven(slice, True))
+            out += [api.OnRecord(slice, host, weight) for host, weight in rows.items()]
+        self.giving = {}
+        return out
+
+    def settled(self, s: Standing, under_way: set[int] | None = None) -> list[api.Event]:
+        """What stands is whole: the difference to what was known. under_way: slices with orders not yet confirmed,
+        whose lines may well differ."""
+        out: list[api.Event] = [api.ProxyLeft(p) for p in self.proxies if p not in s.proxies]
+        out += [j for p, j in s.proxies.items() if p not in self.proxies]
+        self.proxies = s.proxies
+        out += [api.SliceGiven(slice, False) for slice in self.tables if slice not in s.tables]
+        self.giving = {}
+        for slice, rows in s.tables.items():
+            known = self.tables.get(slice)
+            if known is None or (known != rows and slice not in (under_way or ())):
+                self.giving[slice] = rows
+        self.tables = {slice: rows for slice, rows in self.tables.items() if slice in s.tables}
+        return [*out, *self.given(), *(a for a in s.acks if isinstance(a, api.Acked) and a.proxy in self.proxies)]
+
+    def stands(self, o: api.SetLine | api.ResetTable) -> None:
+        """The relay confirmed this order."""
+        rows = self.tables.get(o.slice)
+        if rows is None:
+            return
+        if isinstance(o, api.ResetTable):
+            rows.clear()
+        elif o.weight > 0:
+            rows[o.host] = o.weight
+        else:
+            rows.pop(o.host, None)
+
+    # ---- fields ------------------------------------------------------------------------------------------
+
+    def proxy(self, p: dict[str, Any]) -> int:
+        return count(p, "node", self.set.proxies)
+
+    def joined(self, p: dict[str, Any]) -> api.ProxyJoined:
+        zone = self.zones.get(str(p.get("locality")))
+        if zone is None:
+            raise BadNews(f"locality={p.get('locality')!r}")
+        return api.ProxyJoined(self.proxy(p), zone, figure(p, "w"), bool(p.get("cold")))
+
+    def acked(self, p: dict[str, Any]) -> api.Acked:
+        return api.Acked(self.proxy(p), count(p, "nonce", 65_536), figure(p, "latency"))
+
+    def entry(self, p: dict[str, Any]) -> tuple[int, int, float]:
+        try:
+            host = number(str(p.get("endpoint")))
+        except ValueError:
+            raise BadNews(f"endpoint={p.get('endpoint')!r}") from None
+        return count(p, "shard", max(1, self.set.slices)), host, figure(p, "w")
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -55,6 +55,7 @@
 from .record import Recorder, RecordFault
 from .revive import Step, StewardState, Unfit, boot_id, capture, check, revive
 from .starts import CALM, Starts, advise
+from .turns import Decider
 
 if TYPE_CHECKING:
     from ..registry.keeper import Keeper
@@ -109,7 +110,7 @@
     feed_kind: type[Feed] = Feed
 
     def __init__(
-        self, config: StewardConfig, decider: Callable[[api.Settings, int], core.Decider] = Assigner,
+        self, config: StewardConfig, decider: Callable[[api.Settings, int], Decider] = Assigner,
         record: str | None = None, path: str | None = None, store: Store | None = None,
         monotonic: Callable[[], float] = time.monotonic, wall: Callable[[], float] = time.time,
     ) -> None:  # fmt: skip
@@ -1140,7 +1141,7 @@
 
 
 async def serve(
-    path: str, record: str | None, decider: Callable[[api.Settings, int], core.Decider] = Assigner,
+    path: str, record: str | None, decider: Callable[[api.Settings, int], Decider] = Assigner,
     take_over: int | None = None,
 ) -> int:  # fmt: skip
     config = load_steward(path)
@@ -1189,7 +1190,7 @@
 
 
 def run(
-    path: str, record: str | None = None, decider: Callable[[api.Settings, int], core.Decider] = Assigner,
+    path: str, record: str | None = None, decider: Callable[[api.Settings, int], Decider] = Assigner,
     take_over: int | None = None,
 ) -> int:  # fmt: skip
     """The daemon until it ends; its exit code: 0 clean, 2 configuration, 3 module, 4 store, 5 address, 6 nothing came
--- a/corallanding/steward/engine.py
+++ b/corallanding/steward/engine.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable, Container, Iterable, Sequence
 from dataclasses import dataclass, field
-from typing import Any, Protocol
+from typing import Any
 
 from .. import interface as api
 from ..channel.merge import cost
@@ -18,12 +17,7 @@
 from .gather import Gather
 from .overload import Limits as OverloadLimits
 from .overload import Overload
-
-
-class Decider(Protocol):
-    """The module, or a test double in its place."""
-
-    def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]: ...
+from .turns import Decider, Turns
 
 
 @dataclass(frozen=True)
@@ -101,7 +95,7 @@
     return any(w <= 0 and (h in going or t in new) for t, h, w in lines)
 
 
-class Engine:
+class Engine(Turns):
     """settings, seed: the module's. charge: the slices that this steward holds (none at sites without).
 
     `addresses` is shared with the roster's view: host to "ip:port".
@@ -111,16 +105,13 @@
         self, settings: api.Settings, seed: int, life: Life, charge: Iterable[int], addresses: dict[int, str],
         decider: Callable[[api.Settings, int], Decider], overload: OverloadLimits | None = None,
     ) -> None:  # fmt: skip
-        self.set, self.module = settings, decider(settings, seed)
+        super().__init__(decider(settings, seed))
+        self.set = settings
         self.can_wait: int | None = getattr(self.module, "can_wait", None)
         self.overload = Overload(overload or OverloadLimits())
         self.addresses = addresses
         self.life, self.seq = life, 0
         self.charge = set(charge)
-        self.now = 0.0
-        self.inbox: list[tuple[float, int, api.Event]] = []
-        self.timers: list[tuple[float, int, int]] = []
-        self.counter = 0
         self.joined: dict[int, int] = {}  # forwarder: its zone
         self.state = Published()
         for table, lines in life.tables.items():
@@ -130,8 +121,6 @@
         self.gather_at = 0.0
         self.recall_until, self.recalled_seq = float("inf"), life.seq
         self.discarded = 0  # orders for slices outside the charge
-        self.steps = 0
-        self.last: tuple[float, list[api.Event], list[api.Action]] | None = None  # for the recorder
         self.snapshot: tuple[int, bytes] | None = None
         self.pending: list[Output] = []
         self.anew: set[int] = set()  # slices given since the last step: one message tells of all
@@ -142,11 +131,6 @@
 
     # ---- what happened ---------------------------------------------------------------------------------
 
-    def event(self, at: float, e: api.Event) -> None:
-        """Something happened at `at`. Steps deliver events in the order of their times."""
-        self.counter += 1
-        self.inbox.append((at, self.counter, e))
-
     def begin(self, now: float, saved: api.Membership) -> None:
         """The first events of a life: the saved list, the charge, the tables on record."""
         self.event(now, saved)
@@ -227,11 +211,6 @@
 
     # ---- a step ----------------------------------------------------------------------------------------
 
-    def ahead(self, marks: int) -> bool:
-        """Lets the module work ahead of need between steps, if it does; false once nothing is left."""
-        work = getattr(self.module, "ahead", None)
-        return bool(work and work(marks))
-
     def next_at(self, now: float) -> float | None:
         """When the next step is due, if nothing happens before."""
         at = [self.timers[0][0]] if self.timers else []
@@ -249,30 +228,21 @@
     def decide(self, now: float) -> Writes:
         """Run the module on all that came until `now`; returns what is to be kept first."""
         now = self.now = max(now, self.now)  # a clock that steps back stands still for the module
-        later = []
-        while self.timers and self.timers[0][0] <= now:
-            at, count, handle = heapq.heappop(self.timers)
-            if handle == self.can_wait and self.overload.waits(now, handle):
-                later.append((now + self.set.report_every / 8, count, handle))
-            else:
-                self.inbox.append((at, count, api.Due(handle)))
-        for timer in later:
-            heapq.heappush(self.timers, timer)
+        self.fall_due(now)
         if now >= self.gather_at:
             for e in self.gather.due(now):
                 self.event(now, e)
             self.gather_at = now + self.set.report_every / 8
-        self.inbox.sort(key=lambda item: item[:2])
-        events = [e for _, _, e in self.inbox]
+        events = self.collect()
         for e in events:
             if isinstance(e, api.Membership):
                 for entry in e.entries:
                     (self.going.discard if entry.state == "up" else self.going.add)(entry.host)
-        self.inbox = []
-        actions = self.module.step(now, events) if events or not self.steps else []
-        self.steps += 1
-        self.last = (now, events, actions)
-        return self.carry_out(now, actions)
+        return self.carry_out(now, self.deliver(now, events))
+
+    def put_off(self, now: float, handle: int) -> float | None:
+        wait = handle == self.can_wait and self.overload.waits(now, handle)
+        return self.set.report_every / 8 if wait else None
 
     def carry_out(self, now: float, actions: list[api.Action]) -> Writes:
         lines: dict[tuple[int, int], float] = {}
@@ -314,8 +284,7 @@
                 case api.Mark():
                     mark, everyone = a.number, a.everyone
                 case api.Remind():
-                    self.counter += 1
-                    heapq.heappush(self.timers, (now + a.after, self.counter, a.handle))
+                    self.remind(now + a.after, a.handle)
                 case api.Probe():
                     out.append(ProbeHost(a.host, self.addresses.get(a.host, "")))
                 case api.Follow():
