--- a/corallanding/collector/core.py
+++ b/corallanding/collector/core.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Container
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field
 
 from .. import interface as api
@@ -44,6 +44,7 @@
     slices: Container[int]
     spoilt: Counter[str] = field(default_factory=Counter)
     taken: int = 0
+    trace: Callable[[str], None] | None = None  # told of each that is spoilt
 
     def __post_init__(self) -> None:
         # No good answer comes later than its client has waited; no report covers more than a few of the longest waits.
@@ -172,6 +173,8 @@
                     self.intake.taken += 1
                 except Spoilt as fault:
                     self.intake.spoilt[str(fault)] += 1
+                    if self.intake.trace:
+                        self.intake.trace(f"spoilt ({fault}): {b' '.join(words)[:300]!r}")
             if heard.over:
                 return heard
         if self.reader.fault:
--- a/corallanding/node/service.py
+++ b/corallanding/node/service.py
@@ -39,6 +39,20 @@
         return self.base + time.monotonic() * 1000.0
 
 
+def said(orders: Sequence[Order]) -> str:
+    """Orders in short, for the trace."""
+    words = []
+    for o in orders:
+        match o:
+            case api.SetLine():
+                words.append(f"{o.slice}{'+' if o.weight > 0 else '-'}{name(o.host)}")
+            case api.Cordon():
+                words.append(f"{'out' if o.on else 'in'} {name(o.host)}")
+            case _:
+                words.append(str(o))
+    return " ".join(words)
+
+
 class Service:
     def __init__(self, config: Config, path: str, trace: bool = False) -> None:
         self.config, self.path = config, path
@@ -67,6 +81,8 @@
         self.ended = asyncio.Event()
         self.warming: asyncio.TimerHandle | None = None
         self.trace = trace
+        if trace:
+            self.intake.trace = log.info
         self.trace_last = 0
 
     # ---- the life ----------------------------------------------------------------------------------------
@@ -137,6 +153,10 @@
         for e in events:
             if isinstance(e, api.SliceGiven) and not e.on:
                 self.calls.forget(e.slice)
+            if self.trace and isinstance(e, api.HostSums | api.SliceSums):
+                log.info("sums: %s", e)
+            if self.trace and isinstance(e, api.SliceGiven | api.ProxyLeft | api.ProxyJoined):
+                log.info("news: %s", e)
             self.turns.event(now, e)
         self.wake()
 
@@ -147,6 +167,9 @@
             self.seldom.warn("discovery", f"discovery: an answer that cannot be read: {fault}")
             return False
         event = self.view.take(answer)
+        if self.trace and event:
+            rows = " ".join(f"{name(e.host)}:{e.state}:{e.online_since:.0f}" for e in event.entries)
+            log.info("list %d %s %s", event.version, event.form.value, rows)
         self.bad_entries()
         if event or self.agent.asked:
             self.tell([event or api.Membership(api.ListForm.CHANGES, answer.seq)])
@@ -164,6 +187,8 @@
         self.tell([api.Membership(api.ListForm.FAILED, self.view.version)])
 
     def probed(self, e: api.ProbeDone) -> None:
+        if self.trace:
+            log.info("probe of %s: %s after %.0f ms", name(e.host), e.end.value, e.latency)
         self.tell([e])
 
     def stood(self, orders: list[Order]) -> None:
@@ -236,10 +261,13 @@
                 case api.FetchList():
                     self.agent.fetch()
                 case api.Note():
-                    log.debug("module: %s", a.text)
+                    if self.trace:
+                        log.info("module: %s", a.text)
                 case api.Point() | api.Tell():
                     self.said(f"the platform has no way to do this: {a}")
         if orders:
+            if self.trace:
+                log.info("orders: %s", said(orders))
             self.calls.order(orders)
             self.call_link.kick()
 
