--- a/corallanding/relay/news.py
+++ b/corallanding/relay/news.py
@@ -154,7 +154,8 @@
             known = self.tables.get(slice)
             if known is None or (known != rows and slice not in (under_way or ())):
                 self.giving[slice] = rows
-        self.tables = {slice: rows for slice, rows in self.tables.items() if slice in s.tables}
+        for slice in [slice for slice in self.tables if slice not in s.tables]:
+            del self.tables[slice]  # in place: reports are checked against this very table
         return [*out, *self.given(), *(a for a in s.acks if isinstance(a, api.Acked) and a.proxy in self.proxies)]
 
     def stands(self, o: api.SetLine | api.ResetTable) -> None:
--- /dev/null
+++ b/tests/platform_front.py
@@ -0,0 +1,56 @@
+"""What tests of the platform's front share: settings, names, small builders."""
+
+from __future__ import annotations
+
+from corallanding import interface as api
+from corallanding.collector.core import Intake, Peer, Places
+from corallanding.names import number
+from corallanding.relay.news import News, Standing
+from corallanding.resp import encode
+
+ZONES = {"a": 0, "b": 1}
+KINDS = {"m2": 0, "m3": 1}
+LOOKUP = api.Operation("lookup", api.Repeat.IDEMPOTENT, "all", 0.0, 1.0, 0.0, 1_000.0, 3_000.0)
+CLAIM = api.Operation("claim", api.Repeat.SIDE_EFFECTING, "all", 0.0, 1.0, 0.0, 1_000.0, 5_000.0)
+SETTINGS = api.Settings((LOOKUP, CLAIM), zones=2, slices=8, proxies=20, report_every=500.0, may_probe=True)
+HOSTS = [number(f"s-{n}") for n in range(6)]
+
+
+def intake(slices: set[int] | dict[int, dict[int, float]]) -> Intake:
+    return Intake(SETTINGS, Places(ZONES, {"lookup": 0, "claim": 1}), set(HOSTS), slices)
+
+
+def collector(of: Intake, zone: str = "a") -> Peer:
+    peer = Peer(of)
+    assert not peer.feed(encode(["telemetry", "locality", zone])).over
+    return peer
+
+
+def host_report(**other: object) -> list[str]:
+    f = {"locality": "a", "endpoint": "s-1", "total": 9, "errors": 2, "rtt": 41.5, "interval": 500.0, **other}
+    return ["upstream_stats", *(str(x) for pair in f.items() if pair[1] is not None for x in pair)]
+
+
+def slice_report(**other: object) -> list[str]:
+    f = {"shard": 3, "route": "claim", "total": 9, "errors": 2, "interval": 500.0, **other}
+    return ["range_stats", *(str(x) for pair in f.items() if pair[1] is not None for x in pair)]
+
+
+def told(news: News, s: Standing, *rows: tuple[str, dict[str, object]]) -> None:
+    """Lines of what stands on a new connection."""
+    import msgspec
+
+    for method, params in rows:
+        news.begun(s, news.read(msgspec.json.encode({"jsonrpc": "2.0", "method": method, "params": params})))
+
+
+def attach(node: int) -> tuple[str, dict[str, object]]:
+    return ("attach", {"node": node, "locality": "a", "w": 2.5, "cold": True})
+
+
+def owner(shard: int, on: bool = True) -> tuple[str, dict[str, object]]:
+    return ("owner", {"shard": shard, "set": on})
+
+
+def entry(shard: int, host: int, w: float = 1.0) -> tuple[str, dict[str, object]]:
+    return ("entry", {"shard": shard, "endpoint": f"s-{host}", "w": w})
