--- a/corallanding/collector/core.py
+++ b/corallanding/collector/core.py
@@ -179,7 +179,7 @@
                 return heard
         if self.reader.fault:
             # A collector is never written to; a stranger is told.
-            heard.answer, heard.over = b"" if self.zone is not None else REJECT, f"unreadable: {self.reader.fault}"
+            heard.answer, heard.over = b"" if self.zone is not None else REJECT, "what cannot be read"
         return heard
 
     def greet(self, words: list[bytes], heard: Heard) -> None:
@@ -192,5 +192,5 @@
                 return
             heard.over = "a collector of no zone there is"
         else:
-            heard.over = f"{words[0][:20]!r} before joining"
+            heard.over = "another word before joining"
         heard.answer += REJECT
--- a/corallanding/node/service.py
+++ b/corallanding/node/service.py
@@ -6,6 +6,7 @@
 import gc
 import resource
 import time
+from collections import Counter
 from collections.abc import Sequence
 
 from .. import interface as api
@@ -27,6 +28,7 @@
 RESERVED = 64  # descriptors kept from strangers: loop, log, relay, discovery, probes, collectors
 AHEAD = 400  # marks worked out at a time between steps
 PROBES_MOST = 16
+COUNTS_EVERY = 10.0  # s
 
 
 class Clock:
@@ -80,10 +82,10 @@
         self.begun = self.clock()
         self.ended = asyncio.Event()
         self.warming: asyncio.TimerHandle | None = None
+        self.counted = (Counter[str](), Counter[str]())
         self.trace = trace
         if trace:
             self.intake.trace = log.info
-        self.trace_last = 0
 
     # ---- the life ----------------------------------------------------------------------------------------
 
@@ -99,9 +101,20 @@
         self.news_link.start()
         self.agent.start()
         self.loop.call_later(READY_MOST, self.ready)
+        self.loop.call_later(COUNTS_EVERY, self.counts)
         if self.trace:
             self.loop.call_later(1.0, self.tracing)
 
+    def counts(self) -> None:
+        """What was turned down at the listening address since the last such line, by reason."""
+        self.loop.call_later(COUNTS_EVERY, self.counts)
+        for what, now, before in (
+            ("spoilt reports", self.intake.spoilt, self.counted[0]), ("ended", self.door.ended, self.counted[1])
+        ) if self.door else ():  # fmt: skip
+            if more := now - before:
+                log.info("%s: %s", what, ", ".join(f"{n} {why}" for why, n in more.most_common(8)))
+            before.update(more)
+
     def ready(self) -> None:
         if self.door and not self.door.ready:
             self.door.open()
--- a/tests/test_collector.py
+++ b/tests/test_collector.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
-from platform_front import SETTINGS, ZONES, collector, intake, owner, slice_report, told
+import pytest
+from platform_front import HOSTS, SETTINGS, ZONES, collector, host_report, intake, owner, slice_report, told
 
 from corallanding import interface as api
+from corallanding.collector.core import REJECT, Peer
 from corallanding.relay.news import News, Standing
 from corallanding.resp import encode
 
@@ -29,3 +31,61 @@
     peer = collector(intake({3}))
     assert peer.feed(encode(slice_report(total=0, errors=1))).events == [api.SliceSums(3, 1, 0, 1, 500.0)]
     assert not peer.intake.spoilt
+
+
+@pytest.mark.parametrize(
+    ("report", "reason"),
+    [
+        (host_report(locality=None), "locality missing"),
+        (host_report(locality="z"), "locality unknown"),
+        (host_report(endpoint="s-99"), "endpoint unknown"),
+        (host_report(endpoint=""), "endpoint unknown"),
+        (host_report(total="many"), "total no number"),
+        (host_report(total=-3), "total out of range"),
+        (host_report(total=1e300), "total out of range"),
+        (host_report(total=2.5), "total no whole number"),
+        (host_report(errors=10), "errors above total"),
+        (host_report(rtt="nan"), "rtt out of range"),
+        (host_report(rtt=10_001), "rtt out of range"),
+        (host_report(interval=0), "interval out of range"),
+        (host_report(interval="inf"), "interval out of range"),
+        (host_report(metrics="util:x"), "metrics no number"),
+        (slice_report(shard=8), "shard unknown"),
+        (slice_report(shard=5), "shard not in charge"),
+        (slice_report(route="steal"), "route unknown"),
+        (slice_report()[:-1], "a name without a value"),
+        (["range_stats"], "shard missing"),
+        (["assign", "shard", "1"], "unknown kind"),
+    ],
+)  # fmt: skip
+def test_a_spoilt_report_costs_itself_alone(report: list[str], reason: str) -> None:
+    peer = collector(intake({3}))
+    heard = peer.feed(encode(host_report()) + encode(report) + encode(slice_report()))
+    assert [type(e) for e in heard.events] == [api.HostSums, api.SliceSums] and not heard.over
+    assert dict(peer.intake.spoilt) == {reason: 1}
+
+
+def test_a_report_that_is_sound_reaches_the_module_whole() -> None:
+    heard = collector(intake({3})).feed(encode(host_report(metrics="inflight:7,util:0.61")))
+    assert heard.events == [api.HostSums(0, HOSTS[1], 9, 2, 41.5, 500.0, {"inflight": 7.0, "util": 0.61})]
+
+
+@pytest.mark.parametrize(
+    "said",
+    [encode(["telemetry", "locality", "nowhere"]), encode(["telemetry"]), encode(slice_report()), encode(["assign"]),
+     encode(["attach", "node", "1", "locality", "a", "w", "1", "cold", "1"]), b"GET / HTTP/1.1\r\n\r\n", b"\x00\xff",
+     b"*1\r\n$1048576\r\n"],
+)  # fmt: skip
+def test_strangers_are_told_and_go(said: bytes) -> None:
+    heard = Peer(intake({3})).feed(said)
+    assert heard.over and heard.answer == REJECT and not heard.events
+
+
+def test_a_collector_is_never_written_to_and_ends_at_what_cannot_be_read() -> None:
+    heard = collector(intake({3})).feed(encode(slice_report()) + b"garbage")
+    assert heard.over and heard.answer == b"" and len(heard.events) == 1
+
+
+def test_a_sign_of_life_is_owed_on_any_connection() -> None:
+    assert Peer(intake(set())).feed(encode(["hb"]) * 2).asked == 2
+    assert collector(intake(set())).feed(encode(["hb"])).asked == 1
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,180 @@
+"""A day of the steward as the platform starts it, on loopback against stand-ins; what they saw is asserted."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from platform_front import slice_report
+from platform_standins import LONG, Agent, Hosts, Process, Relay, until
+from test_platform_state import TOP, row
+
+from corallanding.resp import encode
+
+
+def free() -> str:
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{s.getsockname()[1]}"
+
+
+class Day:
+    def __init__(self, relay: Relay, agent: Agent, hosts: Hosts, dial: str, steward: Process) -> None:
+        self.relay, self.agent, self.hosts, self.dial, self.steward = relay, agent, hosts, dial, steward
+
+    async def alive(self) -> None:
+        reader, writer = await self.steward.connect()
+        writer.write(encode(["hb"]))
+        async with asyncio.timeout(LONG):
+            assert await reader.readexactly(len(encode(["hb_ok"]))) == encode(["hb_ok"])
+        writer.close()
+
+    def sound(self) -> bool:
+        """Every slice has a host, and none that is leaving."""
+        up = {h for h, e in self.agent.hosts.items() if e["health"] == "in_service"}
+        return all(lines and set(lines) <= up for lines in self.relay.tables.values())
+
+    def row(self, host: str, health: str = "in_service") -> dict[str, Any]:
+        return row(host, health, dial=self.dial)
+
+
+def day(tmp_path: Path, scene: Callable[[Day], Awaitable[None]]) -> None:
+    async def play() -> None:
+        relay, hosts = Relay(), Hosts()
+        dial = await hosts.open()
+        rows = [row(f"s-{n}", dial=dial) for n in range(6)]
+        agent = Agent(rows)
+        relay.tables = {n: {f"s-{n % 6}": 1.0} for n in range(12)}
+        relay.proxies = {0, 1}
+        config = {**TOP, "listen": free(), "discovery": await agent.open(), "store": {"address": await relay.open()},
+                  "known": {"seq": 1, "whole": True, "hosts": rows}}  # fmt: skip
+        d = Day(relay, agent, hosts, dial, Process(config, tmp_path / "config.json"))
+        await d.steward.start()
+        try:
+            await d.alive()
+            await scene(d)
+            d.steward.signal(signal.SIGTERM)
+            code, log = await d.steward.end()
+            assert code == 0 and "Traceback" not in log, log
+            assert relay.outstanding_most == 1
+        finally:
+            if d.steward.process.returncode is None:
+                d.steward.process.kill()
+            for server in (relay, agent, hosts):
+                server.close()
+
+    asyncio.run(play())
+
+
+def test_drains_and_deaths_reach_the_relay_whatever_becomes_of_calls(tmp_path: Path) -> None:
+    async def scene(d: Day) -> None:
+        await until(lambda: d.relay.calls, "the first call")
+        for n, faults in enumerate((["broken", "silent"], ["lost", "spoilt"], ["throttled", "lost", "broken"])):
+            d.relay.faults.extend(faults)
+            d.agent.change(d.row(f"s-{n}", "terminating"))
+            await until(lambda: d.sound() and not d.relay.faults, f"drain under {faults}")
+        # Owners sat where the store had them: but for the drains nothing had to move.
+        assert all(d.relay.tables[n] == {f"s-{n % 6}": 1.0} for n in range(12) if n % 6 > 2)
+
+    day(tmp_path, scene)
+
+
+def test_news_that_breaks_off_and_an_agent_that_stalls_lose_nothing(tmp_path: Path) -> None:
+    async def scene(d: Day) -> None:
+        for _ in range(3):
+            watched = d.relay.watched
+            d.relay.break_news()
+            await until(lambda w=watched: d.relay.watched > w and d.relay.watchers, "a new watch")
+        d.relay.tables[12] = {}
+        d.relay.give(12)
+        await until(d.sound, "a slice given without lines gets a host")
+        d.agent.garble = 2
+        d.agent.change(d.row("s-9"))
+        d.agent.mute = True
+        polls = d.agent.polls
+        await until(lambda: d.agent.polls > polls + 1, "a silent agent is asked anew")
+        d.agent.change(d.row("s-5", "terminating"))
+        d.agent.mute = False
+        await until(d.sound, "the drain is kept once the agent speaks")
+
+    day(tmp_path, scene)
+
+
+def test_new_addresses_under_load_a_bad_file_and_a_kill(tmp_path: Path) -> None:
+    async def scene(d: Day) -> None:
+        await until(lambda: d.relay.calls, "the first call")
+        relay, agent = Relay(), Agent(list(d.agent.hosts.values()))
+        relay.tables, relay.proxies = d.relay.tables, d.relay.proxies
+        d.steward.path.write_bytes(b'{"listen":')
+        d.steward.signal(signal.SIGHUP)
+        d.agent.change(d.row("s-0", "terminating"))
+        await until(d.sound, "the old configuration stays")
+        old = (d.relay, d.agent)
+        d.relay, d.agent = relay, agent
+        agent.change(d.row("s-0", "terminating"))
+        d.steward.write(store={"address": await relay.open()}, discovery=await agent.open())
+        d.steward.signal(signal.SIGHUP)
+        d.steward.signal(signal.SIGHUP)
+        await until(lambda: relay.watchers and agent.polls and not old[0].watchers, "the new addresses")
+        for server in old:
+            server.close()
+        agent.change(d.row("s-1", "terminating"))
+        await until(d.sound, "a drain at the new addresses")
+        d.steward.process.kill()
+        await d.steward.end()
+        agent.change(d.row("s-2", "terminating"))
+        await d.steward.start()
+        await d.alive()
+        await until(d.sound, "a drain while it was dead")
+        for server in (relay, agent):
+            server.close()
+
+    day(tmp_path, scene)
+
+
+def test_strangers_by_the_hundred_cost_no_collector_its_place(tmp_path: Path) -> None:
+    async def scene(d: Day) -> None:
+        said = [b"", encode(["hb"])[:9], b"GET / HTTP/1.1\r\n\r\n", encode(["telemetry", "locality", "z"]),
+                encode(slice_report()), b"*1\r\n$999999999\r\n", encode(["hb"])]  # fmt: skip
+        reader, writer = await d.steward.connect()
+        writer.write(encode(["telemetry", "locality", "a"]) + encode(slice_report(route="lookup")))
+        strangers = []
+        for n in range(300):
+            strangers.append(await d.steward.connect())
+            strangers[-1][1].write(said[n % len(said)])
+        async with asyncio.timeout(LONG):
+            for r, _ in strangers:
+                try:
+                    await r.read()  # to the end: each is closed
+                except ConnectionError:
+                    pass
+        writer.write(encode(slice_report(route="lookup")) + encode(["hb"]))
+        async with asyncio.timeout(LONG):
+            assert await reader.readexactly(len(encode(["hb_ok"]))) == encode(["hb_ok"])
+        await d.alive()
+        for _, w in [*strangers, (reader, writer)]:
+            w.close()
+
+    day(tmp_path, scene)
+
+
+@pytest.mark.parametrize(("content", "says"), [(None, "No such file"), (b"{}", "settings: missing"), (b"{", "no JSON")])
+def test_a_configuration_that_cannot_be_used_is_one_line_and_exit_code_2(
+    tmp_path: Path, content: bytes | None, says: str
+) -> None:
+    path = tmp_path / "config.json"
+    if content is not None:
+        path.write_bytes(content)
+    done = subprocess.run(
+        [sys.executable, "-m", "corallanding.node"], env={**os.environ, "LB_CONFIG": str(path)}, capture_output=True,
+        text=True, timeout=LONG,
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and str(path) in done.stderr and says in done.stderr
--- /dev/null
+++ b/tests/test_relay_calls.py
@@ -0,0 +1,147 @@
+"""Orders to calls, and what becomes of them."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+from platform_front import HOSTS
+
+from corallanding import interface as api
+from corallanding.relay.calls import CALL_MOST, Call, Calls
+
+A, B, C = HOSTS[:3]
+
+
+def calls(**over: Any) -> Calls:
+    return Calls(["lookup", "claim"], **over)
+
+
+def ops(call: Call | None) -> list[dict[str, Any]]:
+    assert call
+    said = msgspec.json.decode(call.line)
+    assert said["method"] == "relay.apply" and said["id"] == call.id and call.line.endswith(b"\n")
+    return list(said["params"]["ops"])
+
+
+def answer(c: Calls, **said: Any) -> list[Any] | None:
+    assert c.flying
+    return c.answered(0.0, msgspec.json.encode({"jsonrpc": "2.0", "id": c.flying.id, **said}))
+
+
+def test_every_order_in_the_relays_words() -> None:
+    c = calls()
+    c.order([
+        api.Mark(905, True), api.Level(4, 1, 0.9, api.Retry.PROVEN_UNRUN),
+        api.Level(api.ALL_TABLES, 0, 1.0, api.Retry.NEVER),
+        api.SetLine(4, A, 1.5), api.SetLine(4, B, 0.0), api.Cordon(B, True), api.Cordon(C, False), api.ResetTable(7),
+    ])  # fmt: skip
+    assert ops(c.next(0.0)) == [
+        {"op": "DEL", "table": 7}, {"op": "OUT", "endpoint": "s-1"},
+        {"op": "SET", "table": 4, "endpoint": "s-0", "w": 1.5},
+        {"op": "SET", "table": 4, "endpoint": "s-1", "w": 0.0}, {"op": "IN", "endpoint": "s-2"},
+        {"op": "LIMIT", "table": 4, "for": ["lookup"], "gate": 0.9, "again": 1},
+        {"op": "LIMIT", "table": "*", "for": "*", "gate": 1.0, "again": 0}, {"op": "SYNC", "stamp": 905, "set": 1},
+    ]  # fmt: skip
+
+
+def test_one_call_is_outstanding_and_the_newest_of_what_waits_wins() -> None:
+    c = calls()
+    c.order([api.SetLine(1, A, 1.0), api.Mark(1)])
+    assert len(ops(c.next(0.0))) == 2
+    c.order([api.SetLine(1, B, 1.0), api.SetLine(1, A, 0.0), api.Mark(2)])
+    c.order([api.SetLine(1, B, 0.0), api.SetLine(1, C, 1.0), api.Mark(3)])
+    assert c.next(0.0) is None
+    assert answer(c, result={"taken": 2}) == [api.SetLine(1, A, 1.0), api.Mark(1)]
+    assert [(o.get("endpoint"), o.get("w"), o.get("stamp")) for o in ops(c.next(0.0))] == [
+        ("s-2", 1.0, None), ("s-0", 0.0, None), ("s-1", 0.0, None), (None, None, 3),
+    ]  # fmt: skip
+
+
+@pytest.mark.parametrize("line", [b"{", b'{"id":1}', b'{"id":9,"result":{"taken":1}}', b'{"id":1,"result":{"taken":7}}',
+                                  b'{"id":1,"result":{"taken":"1"}}', b'{"id":true,"result":{"taken":1}}', b"\xff\xfe",
+                                  b'{"id":1,"result":1}', b'{"id":1,"error":{"message":"odd"}}'])  # fmt: skip
+def test_an_answer_that_tells_nothing_leaves_the_call_unknown_and_it_goes_again(line: bytes) -> None:
+    c = calls()
+    c.order([api.SetLine(1, A, 1.0), api.SetLine(1, B, 0.0), api.Mark(1)])
+    c.next(0.0)
+    c.order([api.SetLine(1, B, 1.0), api.Mark(2)])
+    assert c.answered(0.0, line) is None and c.flying
+    c.unknown(0.0)
+    assert [(o.get("endpoint"), o.get("w"), o.get("stamp")) for o in ops(c.next(0.0))] == [
+        ("s-0", 1.0, None), ("s-1", 1.0, None), (None, None, 2),
+    ]  # fmt: skip
+
+
+def test_tries_that_fail_again_and_again_are_spaced() -> None:
+    c, now, gaps = calls(), 0.0, []
+    c.order([api.SetLine(1, A, 1.0)])
+    for _ in range(9):
+        at = c.next_at(now)
+        assert at is not None
+        gaps.append(at - now)
+        now = at
+        assert c.next(now)
+        c.unknown(now)
+    assert gaps == [0.0, 0.0, 40.0, 160.0, 500.0, 500.0, 500.0, 500.0, 500.0]
+
+
+def test_an_order_the_relay_cannot_use_is_left_out_and_the_rest_goes_on() -> None:
+    c = calls()
+    c.order([api.SetLine(1, A, 1.0), api.SetLine(2, B, 1.0), api.SetLine(3, C, 1.0), api.Mark(1)])
+    c.next(0.0)
+    assert answer(c, result={"taken": 1}) == [api.SetLine(1, A, 1.0)]
+    assert [o.get("table") for o in ops(c.next(0.0))] == [3, None]
+    assert "s-1" in c.said[0]
+
+
+def test_turned_away_before_the_beginning_nothing_is_lost_and_nothing_spins() -> None:
+    c = calls(messages_most=1)
+    c.order([api.SetLine(1, A, 1.0)])
+    c.next(0.0)
+    assert answer(c, error={"code": -1, "message": "Throttling"}) == []
+    assert c.next(0.0) is None
+    at = c.next_at(0.0)
+    assert at is not None and 0.0 < at < 100.0 and len(ops(c.next(at))) == 1  # and it counted for no message
+
+
+def test_no_call_beyond_the_cap_on_messages_sent_again_or_not() -> None:
+    c = calls(messages_most=2, span=10_000.0)
+    c.order([api.SetLine(1, A, 1.0)])
+    for now in (0.0, 100.0):
+        assert c.next(now)
+        c.unknown(now)
+    assert c.next_at(300.0) == 10_000.0 and c.next(9_999.0) is None and c.next(10_000.0)
+
+
+def test_a_call_over_the_limit_is_cut_at_an_order_and_the_mark_goes_last() -> None:
+    c = calls()
+    lines = [api.SetLine(t, A, 1.0) for t in range(1_500)] + [api.SetLine(t, B, 0.0) for t in range(1_500)]
+    c.order([*lines, api.Cordon(C, True), api.Mark(5)])
+    seen: list[dict[str, Any]] = []
+    parts = 0
+    while call := c.next(0.0):
+        said = ops(call)
+        assert sum(len(msgspec.json.encode(o)) + 1 for o in said) <= CALL_MOST
+        seen += said
+        parts += 1
+        answer(c, result={"taken": len(said)})
+    assert parts > 1 and len(seen) == 3_002 and seen[0]["op"] == "OUT" and seen[-1]["op"] == "SYNC"
+    assert [o["w"] for o in seen if o["op"] == "SET"] == [1.0] * 1_500 + [0.0] * 1_500
+
+
+def test_what_waits_for_a_slice_that_is_taken_away_is_void() -> None:
+    c = calls()
+    c.order([api.SetLine(1, A, 1.0), api.SetLine(2, A, 1.0), api.Mark(1)])
+    c.forget(1)
+    assert [o.get("table") for o in ops(c.next(0.0))] == [2, None] and c.touches(2) and not c.touches(1)
+
+
+def test_an_emptied_table_takes_what_waited_for_it_along() -> None:
+    c = calls()
+    c.order([api.SetLine(1, A, 1.0)])
+    c.next(0.0)
+    c.order([api.SetLine(1, B, 1.0), api.ResetTable(1), api.SetLine(1, C, 1.0)])
+    c.unknown(0.0)
+    assert [(o["op"], o.get("endpoint")) for o in ops(c.next(0.0))] == [("DEL", None), ("SET", "s-2")]
--- /dev/null
+++ b/tests/test_relay_news.py
@@ -0,0 +1,92 @@
+"""The relay's news to events, through breaks."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+from platform_front import HOSTS, SETTINGS, ZONES, attach, entry, owner, told
+
+from corallanding import interface as api
+from corallanding.relay.news import BadNews, News, Standing
+
+Row = tuple[str, dict[str, Any]]
+
+
+def say(news: News, *rows: Row) -> list[api.Event]:
+    out: list[api.Event] = []
+    for method, params in rows:
+        out += news.news(news.read(msgspec.json.encode({"method": method, "params": params})))
+    return out
+
+
+def stand(news: News, *rows: Row, under_way: set[int] | None = None) -> list[api.Event]:
+    s = Standing()
+    told(news, s, *rows)
+    return news.settled(s, under_way)
+
+
+def begun() -> News:
+    news = News(SETTINGS, ZONES)
+    stand(news, attach(1), attach(2), owner(3), entry(3, 0), owner(4), entry(4, 1))
+    return news
+
+
+def test_the_first_connection_gives_all_that_stands_lines_with_their_slice() -> None:
+    news = News(SETTINGS, ZONES)
+    assert stand(news, attach(1), owner(3), owner(4), entry(4, 1), entry(3, 0, 0.5)) == [
+        api.ProxyJoined(1, 0, 2.5, True),
+        api.SliceGiven(3, True), api.OnRecord(3, HOSTS[0], 0.5),
+        api.SliceGiven(4, True), api.OnRecord(4, HOSTS[1], 1.0),
+    ]  # fmt: skip
+
+
+def test_what_is_said_again_unchanged_is_no_event() -> None:
+    assert stand(begun(), attach(2), attach(1), owner(4), entry(4, 1), owner(3), entry(3, 0)) == []
+
+
+def test_what_is_not_said_again_is_gone_and_what_is_new_has_come() -> None:
+    assert stand(begun(), attach(2), attach(5), owner(4), entry(4, 1), owner(6)) == [
+        api.ProxyLeft(1), api.ProxyJoined(5, 0, 2.5, True), api.SliceGiven(3, False), api.SliceGiven(6, True),
+    ]  # fmt: skip
+
+
+def test_lines_that_differ_are_the_stores_word_unless_orders_are_under_way() -> None:
+    rows = (attach(1), attach(2), owner(3), entry(3, 2), owner(4), entry(4, 1))
+    assert stand(begun(), *rows, under_way={3}) == []
+    assert stand(begun(), *rows) == [api.SliceGiven(3, True), api.OnRecord(3, HOSTS[2], 1.0)]
+    news = begun()
+    news.stands(api.SetLine(3, HOSTS[2], 1.0))
+    news.stands(api.SetLine(3, HOSTS[0], 0.0))
+    assert stand(news, *rows) == []
+
+
+def test_a_slice_given_waits_for_its_lines() -> None:
+    news = begun()
+    assert say(news, owner(5), entry(5, 0), entry(5, 1)) == []
+    assert news.given() == [
+        api.SliceGiven(5, True), api.OnRecord(5, HOSTS[0], 1.0), api.OnRecord(5, HOSTS[1], 1.0),
+    ]  # fmt: skip
+    assert news.given() == []
+    assert say(news, owner(5, False), owner(5, False)) == [api.SliceGiven(5, False)]
+
+
+def test_a_slice_taken_back_before_its_lines_came_was_never_given() -> None:
+    news = begun()
+    assert say(news, owner(5), entry(5, 0), owner(5, False)) == [] and news.given() == []
+
+
+def test_marks_count_of_joined_proxies_only() -> None:
+    done = ("done", {"node": 1, "nonce": 905, "latency": 310.4})
+    assert say(begun(), done, ("detach", {"node": 1}), done) == [api.Acked(1, 905, 310.4), api.ProxyLeft(1)]
+
+
+@pytest.mark.parametrize(("method", "params"), [
+    ("attach", {"node": 20, "locality": "a"}), ("attach", {"node": 1, "locality": "z"}), ("done", {"node": 1}),
+    ("done", {"node": 1, "nonce": 70_000}), ("owner", {"shard": 8}), ("entry", {"shard": 1, "endpoint": ""}),
+    ("entry", {"shard": 1, "endpoint": "s-1", "w": -1}),
+])  # fmt: skip
+def test_news_that_cannot_be_used_is_named(method: str, params: dict[str, Any]) -> None:
+    with pytest.raises(BadNews):
+        say(begun(), (method, params))
