--- a/corallanding/node/service.py
+++ b/corallanding/node/service.py
@@ -291,6 +291,10 @@
         hosts = self.turns.module.hosts.values() if isinstance(self.turns.module, Assigner) else []
         crowd = sorted(((h.stress, h.load, h.fair, name(h.id)) for h in hosts if h.listed), reverse=True)
         worst = " ".join(f"{n}:{s:.2f}/{x:.1f}/{f:.1f}" for s, x, f, n in crowd[:4])
+        if isinstance(self.turns.module, Assigner) and crowd and crowd[0][0] > 0.5:
+            rows = [s for s in self.turns.module.slices.values() if s.owner and name(s.owner.id) == crowd[0][3]]
+            said = " ".join(f"{s.id}:{s.part:.1f}x{1 + len(s.helpers)}" for s in sorted(rows, key=lambda s: -s.part)[:12])
+            log.info("trace %s owns %s", crowd[0][3], said)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         log.info(
             "trace list=%d hosts=%d pooled=%d proxies=%d slices=%d calls=%s waiting=%d news=%.0f breaks=%d "
