--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -25,6 +25,8 @@
 ROOM = 1.1  # a server may be given slices up to this multiple of the fleet's mean load
 CROWDED = 0.5  # strain (see `Host.strain`) above which a server is crowded
 WORSE = 2.0  # and so many times the fleet's median: trouble that all share is not a server's
+JAMMED = 1.5  # strain above which a server answers next to nothing
+SLOW = 8.0  # times the fleet's median probe: a jammed server whose probe takes longer is slow by itself
 SHED = 1.5  # times its fair part: a server with more passes slices on before it is strained
 RUN = 4  # tries in a row without an answer that make a server suspect
 SILENT = 2.0  # windows of sums without any answer after which a suspect is failing
@@ -66,6 +68,7 @@
     load: float = 0.0  # invocations a second of the slices that it owns
     marks: dict[int, float] = field(default_factory=dict)  # those asked for one by one, by slice
     probing: bool = False
+    echo: float = 0.0  # what its last passed probe took
     cordoned: bool = False
     taken: int = 0  # slices given in the present window
     taken_at: float = -math.inf
@@ -248,6 +251,15 @@
     def probed(self, e: api.ProbeDone) -> None:
         h = self.host(e.host)
         h.probing = False
+        if e.end is api.ProbeEnd.OK:
+            # A server that is slow by itself answers too much to hang and too little to be of use. In a crowd
+            # that all share, probes take long everywhere, and nobody could bear what it has.
+            h.echo = e.latency
+            slow = e.latency > SLOW * middle([x.echo for x in self.hosts.values() if x.listed and x.echo])
+            ill = h.strain(self.tight) > JAMMED if h.load else h.failed_at > -math.inf
+            if slow and ill and self.median < CROWDED / 2 and not self.cold(h):
+                self.failing(h)
+                return
         if e.end is api.ProbeEnd.OK or e.end is api.ProbeEnd.TIMEOUT and h.run < RUN and h.listed:
             h.shown, h.run = self.now, h.run if h.load else 0  # a time-out may be but a long or lossy way
         elif e.end is not api.ProbeEnd.FULL and (h.run >= RUN or not h.listed):
--- a/corallanding/node/__main__.py
+++ b/corallanding/node/__main__.py
@@ -28,7 +28,7 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(failed)
     try:
-        service = Service(config, path, trace=os.environ.get("CORALLANDING_TRACE", "") not in ("", "0"))
+        service = Service(config, path, traced=os.environ.get("CORALLANDING_TRACE", "") not in ("", "0"))
         loop.add_signal_handler(signal.SIGHUP, service.reload)
         for sign in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(sign, service.stop)
--- a/corallanding/node/service.py
+++ b/corallanding/node/service.py
@@ -21,6 +21,7 @@
 from ..relay.link import CallLink, NewsLink
 from ..relay.news import News
 from ..steward.turns import Turns
+from . import trace
 from .config import BadConfig, Config, address, read
 from .logs import Seldom, log
 
@@ -41,22 +42,8 @@
         return self.base + time.monotonic() * 1000.0
 
 
-def said(orders: Sequence[Order]) -> str:
-    """Orders in short, for the trace."""
-    words = []
-    for o in orders:
-        match o:
-            case api.SetLine():
-                words.append(f"{o.slice}{'+' if o.weight > 0 else '-'}{name(o.host)}")
-            case api.Cordon():
-                words.append(f"{'out' if o.on else 'in'} {name(o.host)}")
-            case _:
-                words.append(str(o))
-    return " ".join(words)
-
-
 class Service:
-    def __init__(self, config: Config, path: str, trace: bool = False) -> None:
+    def __init__(self, config: Config, path: str, traced: bool = False) -> None:
         self.config, self.path = config, path
         self.loop = asyncio.get_running_loop()
         self.clock = Clock()
@@ -83,8 +70,8 @@
         self.ended = asyncio.Event()
         self.warming: asyncio.TimerHandle | None = None
         self.counted = (Counter[str](), Counter[str]())
-        self.trace = trace
-        if trace:
+        self.trace = traced
+        if traced:
             self.intake.trace = log.info
 
     # ---- the life ----------------------------------------------------------------------------------------
@@ -280,29 +267,12 @@
                     self.said(f"the platform has no way to do this: {a}")
         if orders:
             if self.trace:
-                log.info("orders: %s", said(orders))
+                log.info("orders: %s", trace.orders(orders))
             self.calls.order(orders)
             self.call_link.kick()
 
-    # ---- what it believes --------------------------------------------------------------------------------
-
     def tracing(self) -> None:
         self.loop.call_later(1.0, self.tracing)
-        hosts = self.turns.module.hosts.values() if isinstance(self.turns.module, Assigner) else []
-        crowd = sorted(((h.stress, h.load, h.fair, name(h.id)) for h in hosts if h.listed), reverse=True)
-        worst = " ".join(f"{n}:{s:.2f}/{x:.1f}/{f:.1f}" for s, x, f, n in crowd[:4])
-        if isinstance(self.turns.module, Assigner) and crowd and crowd[0][0] > 0.5:
-            rows = [s for s in self.turns.module.slices.values() if s.owner and name(s.owner.id) == crowd[0][3]]
-            said = " ".join(f"{s.id}:{s.part:.1f}x{1 + len(s.helpers)}" for s in sorted(rows, key=lambda s: -s.part)[:12])
-            log.info("trace %s owns %s", crowd[0][3], said)
-        usage = resource.getrusage(resource.RUSAGE_SELF)
-        log.info(
-            "trace list=%d hosts=%d pooled=%d proxies=%d slices=%d calls=%s waiting=%d news=%.0f breaks=%d "
-            "reports=%d spoilt=%s ended=%s step=%.1f/%.1f cpu=%.2f rss=%d worst=%s",
-            self.view.version, len(self.view.entries), sum(h.pooled for h in hosts), len(self.news.proxies),
-            len(self.news.tables), self.calls.count, len(self.calls.waiting),
-            self.clock() - self.news_link.current.at if self.news_link.current else -1.0, self.news_link.breaks,
-            self.intake.taken, dict(self.intake.spoilt), dict(self.door.ended) if self.door else {}, self.took,
-            self.took_most, usage.ru_utime + usage.ru_stime, usage.ru_maxrss // 1024, worst,
-        )  # fmt: skip
+        for line in trace.figures(self):
+            log.info("trace %s", line)
         self.took_most = 0.0
--- /dev/null
+++ b/corallanding/node/trace.py
@@ -0,0 +1,57 @@
+"""What the steward believes, in lines for the trace: to be laid beside what passes on the sockets."""
+
+from __future__ import annotations
+
+import resource
+from collections.abc import Iterator, Sequence
+from typing import TYPE_CHECKING
+
+from .. import interface as api
+from ..balance import Assigner
+from ..names import name
+from ..relay.calls import Order
+
+if TYPE_CHECKING:
+    from .service import Service
+
+
+def orders(given: Sequence[Order]) -> str:
+    """Orders in short."""
+    words = []
+    for o in given:
+        match o:
+            case api.SetLine():
+                words.append(f"{o.slice}{'+' if o.weight > 0 else '-'}{name(o.host)}")
+            case api.Cordon():
+                words.append(f"{'out' if o.on else 'in'} {name(o.host)}")
+            case _:
+                words.append(str(o))
+    return " ".join(words)
+
+
+def module(a: Assigner) -> Iterator[str]:
+    """The four most strained hosts, each as name:strain/load/fair part, and what slices the first of them owns."""
+    crowd = sorted((h for h in a.hosts.values() if h.listed), key=lambda h: -h.stress)
+    pooled = sum(h.pooled for h in a.hosts.values())
+    said = " ".join(f"{name(h.id)}:{h.stress:.2f}/{h.load:.1f}/{h.fair:.1f}" for h in crowd[:4])
+    yield f"pooled={pooled} median={a.median:.2f} level={a.level:.2f} worst {said}"
+    if crowd:
+        rows = sorted((s for s in a.slices.values() if s.owner is crowd[0]), key=lambda s: -s.part)
+        yield f"{name(crowd[0].id)} owns " + " ".join(f"{s.id}:{s.part:.1f}x{1 + len(s.helpers)}" for s in rows[:12])
+
+
+def figures(s: Service) -> Iterator[str]:
+    """A second's figures: what was told, what was said, what it cost."""
+    news, door = s.news_link.current, s.door
+    yield (
+        f"list={s.view.version} hosts={len(s.view.entries)} proxies={len(s.news.proxies)} slices={len(s.news.tables)} "
+        f"news={s.clock() - news.at if news else -1.0:.0f} breaks={s.news_link.breaks} polls={s.agent.polls} "
+        f"reports={s.intake.taken} spoilt={dict(s.intake.spoilt)} ended={dict(door.ended) if door else {}}"
+    )
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    yield (
+        f"calls={s.calls.count} waiting={len(s.calls.waiting)} step={s.took:.1f}/{s.took_most:.1f} "
+        f"cpu={usage.ru_utime + usage.ru_stime:.2f} rss={usage.ru_maxrss // 1024}"
+    )
+    if isinstance(s.turns.module, Assigner):
+        yield from module(s.turns.module)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -30,6 +30,7 @@
         self.now, self.lines, self.due = self.START, [], []
         self.probed: list[int] = []
         self.ends: dict[int, api.ProbeEnd] = {}  # how probes end that do not pass
+        self.took: dict[int, float] = {}  # ms that probes take, where it matters
 
     def say(self, text: str) -> None:
         self.lines.append(f"# {text}")
@@ -69,7 +70,8 @@
             self.due = [(t, h) for t, h in self.due if t > at]
             if ack:
                 events += [api.Acked(p, self.assigner.mark) for p in self.assigner.proxies]
-            events += [api.ProbeDone(h, self.ends.get(h, api.ProbeEnd.OK)) for h in self.probed]
+            ended = [(h, self.ends.get(h, api.ProbeEnd.OK), self.took.get(h, 0.0)) for h in self.probed]
+            events += [api.ProbeDone(*row) for row in ended]
             self.probed = []
             if at >= beat:
                 beat += 1000
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -258,6 +258,29 @@
     rig.check("returned")
 
 
+def hardly(host: int) -> list[api.Event]:
+    """A second in which `host` fails all of one zone's tries, and answers one of the other's."""
+    return [api.HostSums(1, host, 12, 12, 0.0, 1000.0), api.HostSums(0, host, 4, 3, 1100.0, 1000.0)]
+
+
+def test_slow_by_itself() -> None:
+    rig = calm()
+    rig.step(*(api.ProbeDone(h, api.ProbeEnd.OK, 8.0) for h in (12, 13, 14)))
+    rig.took = {11: 40.0}
+    rig.run(2, lambda: sums({12: 20, 13: 20, 14: 20}) + hardly(11))
+    rig.say("11 answers next to nothing, and its probes take long, but not eight times the fleet's: it sheds, no more")
+    rig.took = {11: 130.0}
+    rig.run(3, lambda: sums({12: 20, 13: 20, 14: 20}) + hardly(11))
+    rig.say("they take sixteen times as long: it was emptied, and stays out while they do")
+    rig.run(9, lambda: sums({12: 20, 13: 20, 14: 20}))
+    assert not rig.assigner.hosts[11].pooled
+    rig.took = {11: 8.0}
+    rig.run(8, lambda: sums({12: 20, 13: 20, 14: 20}))
+    rig.say("well again")
+    assert rig.assigner.hosts[11].pooled
+    rig.check("slow-by-itself")
+
+
 def test_one_reply_does_not_fill_the_queue() -> None:
     rig = Rig(queue_most=52.0)
     rig.start(HOSTS, {s: 12 + s % 2 for s in range(8)})
