--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -41,6 +41,7 @@
 HOT = 0.5  # of a server's fair part: a slice with more is shared, not moved, when its server is crowded
 PEAK_SPAN = 4.0  # report periods over which the fleet's answers are counted
 MARKS = 300_000  # worked out in one ordinary turn; in larger fleets slices beyond them wait for a later one
+GONE = 64  # servers that left may be remembered, and as many as there are: then those that nothing names go
 WRAP = 65536  # marks are numbered below this
 
 
@@ -458,6 +459,8 @@
         self.survey()
         self.urgent = False
         self.leave()
+        if turn:
+            self.forget()
         if turn and self.may_send(False):
             self.release()
             self.move()
@@ -474,6 +477,20 @@
             for out in self.proxies.values():
                 out.append((self.mark, self.set.message_head + self.orders + 2))
 
+    def forget(self) -> None:
+        """Servers that left for good go from memory: new ids may come for as long as this runs."""
+        listed = sum(h.listed for h in self.hosts.values())
+        if not self.fresh or len(self.hosts) <= 2 * listed + GONE:
+            return
+        named = {h for s in self.slices.values() for h in (*s.lines, *s.helpers, s.owner, s.held, s.want)}
+        busy = {h for h in self.hosts.values() if h.probing or h.cordoned or self.dropped(h)}
+        gone = [h for h in self.hosts.values() if not h.listed and h not in named and h not in busy]
+        self.ranks.forget(gone)
+        for h in gone:
+            del self.hosts[h.id]
+        for s in self.slices.values():
+            s.looked = 0  # lists may be made anew, a turn's marks at a time
+
     def leave(self) -> None:
         """Slices without an owner, or whose owner is dead or draining, go at once, the busiest first."""
         # Servers that must go, with more lines than a reply holds (a wave of drains, a hundred proxies), are
--- a/corallanding/interface.py
+++ b/corallanding/interface.py
@@ -78,7 +78,6 @@
     report_every: float = 1000.0
     reports_per_s: float = 400.0
     may_probe: bool = False
-    dial_timeout: float = 300.0
     warm_keys: bool = False
     probe_price: float = 0.0
     message_price: float = 0.0
--- a/corallanding/node/config.py
+++ b/corallanding/node/config.py
@@ -36,6 +36,7 @@
     settings: api.Settings
     places: Places
     kinds: dict[str, int]
+    dial_timeout: float  # ms that proxies wait for a connection
 
 
 def address(text: str) -> Address:
@@ -104,6 +105,7 @@
     flat = flatten(need("settings", dict))
     try:
         settings = codec.settings(flat)
+        dial_timeout = codec.ms(flat, "limits.dialTimeout", 300.0)
     except codec.Malformed as fault:
         raise BadConfig(f"settings: {fault}") from None
     classes = need("settings.classes", list)
@@ -126,7 +128,7 @@
             places(need("settings.zones", list), "settings.zones"),
             places([c.get("name") if isinstance(c, dict) else None for c in classes], "settings.classes"),
         ),
-        places(need("settings.kinds", list), "settings.kinds"),
+        places(need("settings.kinds", list), "settings.kinds"), dial_timeout,
     )  # fmt: skip
 
 
--- a/corallanding/node/service.py
+++ b/corallanding/node/service.py
@@ -59,7 +59,7 @@
         self.agent = Agent(config.discovery, self, s.list_on_request)
         self.agent.said = lambda text: self.seldom.warn("discovery", text)
         self.prober = Prober(
-            self.probed, self.clock, "/load" if s.load_in_probe else "/healthz", 2.0 * s.dial_timeout, PROBES_MOST,
+            self.probed, self.clock, "/load" if s.load_in_probe else "/healthz", 2.0 * config.dial_timeout, PROBES_MOST,
             where=address, load_in_body=True,
         )  # fmt: skip
         self.door: Door | None = None
--- a/corallanding/ranks.py
+++ b/corallanding/ranks.py
@@ -12,6 +12,7 @@
 import operator
 from bisect import bisect
 from collections.abc import Collection, Iterable
+from itertools import accumulate
 from typing import Generic, Protocol, TypeVar
 
 KEPT = 48  # servers kept a slice: a full fleet looks at a few dozen until no other can score higher
@@ -45,7 +46,8 @@
 
 
 class Ranks(Generic[S]):
-    """Servers are added once and stay. `of` gives what a slice's list holds, marking servers added meanwhile."""
+    """Servers are added once and stay until forgotten. `of` gives what a slice's list holds, marking servers added
+    meanwhile."""
 
     def __init__(self, kept: int = KEPT) -> None:
         self.kept = kept
@@ -65,6 +67,25 @@
                 self.servers.append(server)
                 self.names.append(b"%d" % server.id)
 
+    def forget(self, gone: Iterable[S]) -> None:
+        """Servers that are not asked for any more. A list that is not the highest marks of those left is made anew when
+        it is next asked for."""
+        left = {server.id for server in gone} & self.known
+        if not left:
+            return
+        self.known -= left
+        before = [0, *accumulate(server.id not in left for server in self.servers)]  # that stay, among the first n
+        both = [(s, n) for s, n in zip(self.servers, self.names, strict=True) if s.id not in left]
+        self.servers, self.names = [s for s, _ in both], [n for _, n in both]
+        for slice, row in self.rows.items():
+            seen = before[self.done[slice]]
+            pairs = [(value, s) for value, s in zip(*row, strict=True) if s.id not in left]
+            if len(pairs) < min(self.kept, seen):
+                pairs, seen = [], 0
+            row[0][:], row[1][:] = [value for value, _ in pairs], [s for _, s in pairs]
+            self.done[slice] = seen
+        self.warmed = (0, 0)
+
     def of(self, slice: int) -> tuple[list[float], list[S]]:
         """The highest marks, the highest first, at most `kept`, and whose they are."""
         row = self.rows.get(slice)
--- a/corallanding/simhost/codec.py
+++ b/corallanding/simhost/codec.py
@@ -160,7 +160,6 @@
         report_every=ms(f, fam + "reportEvery", usual.report_every),
         reports_per_s=number(f, fam + "intakePerS", usual.reports_per_s),
         may_probe=flag(f, "limits.mayProbe"),
-        dial_timeout=ms(f, "limits.dialTimeout", usual.dial_timeout),
         warm_keys=flag(f, fam + "warmKeys"),
         probe_price=number(f, "prices.probe", 0.0),
         message_price=number(f, fam + "pushPrice", 0.0),
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -309,3 +309,21 @@
         rates.append(round(rig.assigner.slices[2].rate, 1))
     rig.say(f"10, 9, 40 and 30 invocations of slice 2 a second count as {rates}")
     rig.check("burst")
+
+
+def test_servers_replaced_by_the_thousand_are_forgotten_and_decided_on_as_if_they_were_not() -> None:
+    """Two modules live the same day of replacements; one forgets nothing."""
+    rigs = [Rig(), Rig()]
+    rigs[1].assigner.forget = lambda: None  # type: ignore[method-assign]
+    for rig in rigs:
+        rig.start(HOSTS, EVEN)
+        for n in range(600):
+            new, old = up(100 + n, since=rig.now), up(100 + n - 4 if n >= 4 else 11 + n)
+            listed(rig, new, up(old.host, "draining", old.online_since))
+            good = dict.fromkeys(range(max(100, 100 + n - 3), 100 + n), 20)
+            rig.run(2, lambda good=good: sums(good))  # type: ignore[misc]
+            listed(rig, up(old.host, "removed"))
+    a, whole = (rig.assigner for rig in rigs)
+    assert rigs[0].lines == rigs[1].lines and len(whole.hosts) == 604
+    assert len(a.hosts) < 100 and len(a.ranks.servers) <= len(a.hosts) and len(a.ranks.known) <= len(a.hosts)
+    assert all(len(values) <= a.ranks.kept for values, _ in a.ranks.rows.values())
--- a/tests/test_platform_state.py
+++ b/tests/test_platform_state.py
@@ -107,14 +107,14 @@
     assert flatten(SETTINGS) == pairs
     settings = parse(msgspec.json.encode(TOP)).settings
     assert settings == codec.settings(pairs)
-    assert settings.operations[1].writes and settings.dial_timeout == 300.0 and settings.slices == 127
+    assert settings.operations[1].writes and settings.slices == 127
 
 
 def test_a_configuration() -> None:
     c = parse(msgspec.json.encode(TOP))
     assert (c.listen, c.store, c.seed) == (("127.0.0.4", 8081), ("127.2.0.2", 6400), 0x8C1F30D27A5BE964)
     assert c.places.zones == {"a": 0, "north b": 1} and c.places.operations == {"lookup": 0, "claim": 1}
-    assert c.sockets == 256
+    assert c.sockets == 256 and c.dial_timeout == 300.0
     assert c.known.seq == 41
 
 
