Slices with orders under way are found in one pass at a resync

NewsLink asked Calls.touches() once a slice: slices times waiting orders, seconds of a small core where a thousand slices are restated while calls wait.

--- a/corallanding/node/service.py
+++ b/corallanding/node/service.py
@@ -55,7 +55,7 @@
         self.calls = Calls(list(config.places.operations), s.messages_most, s.messages_span)
         self.intake = Intake(s, config.places, self.view.dials, self.news.tables)
         self.call_link = CallLink(config.store, self.calls, self.clock, self.stood)
-        self.news_link = NewsLink(config.store, self.news, self.clock, self.tell, self.under_way, self.said)
+        self.news_link = NewsLink(config.store, self.news, self.clock, self.tell, self.calls.touched, self.said)
         self.agent = Agent(config.discovery, self, s.list_on_request)
         self.agent.said = lambda text: self.seldom.warn("discovery", text)
         self.prober = Prober(
@@ -199,9 +199,6 @@
             self.said(text)
         self.calls.said.clear()
 
-    def under_way(self) -> set[int]:
-        return {slice for slice in self.news.tables if self.calls.touches(slice)}
-
     # ---- turns -------------------------------------------------------------------------------------------
 
     def wake(self) -> None:
--- a/corallanding/relay/calls.py
+++ b/corallanding/relay/calls.py
@@ -114,11 +114,10 @@
         for k in [k for k in self.waiting if k[0] in ("line", "empty", "level") and k[1] == slice]:
             del self.waiting[k]
 
-    def touches(self, slice: int) -> bool:
-        """Whether anything of the slice's table is under way."""
-        flying = self.flying.orders if self.flying else []
-        rows = [*self.waiting.values(), *flying]
-        return any(isinstance(o, api.SetLine | api.ResetTable) and o.slice == slice for o in rows)
+    def touched(self) -> set[int]:
+        """Slices of whose tables anything is under way."""
+        rows = [*self.waiting.values(), *(self.flying.orders if self.flying else [])]
+        return {o.slice for o in rows if isinstance(o, api.SetLine | api.ResetTable)}
 
     def next_at(self, now: float) -> float | None:
         """When a call may go out; None while nothing waits or one is outstanding."""
