Acks lost in a gap of the news no longer block all orders for good

Ruled out: the relay (no call outstanding, none refused), the list (each change came at once). Cause: the module counts what is not acked as waiting (may_send), its queue stayed full by that count, and no mark could go out whose acks would clear it; relay/news.py settled() told nothing of proxies that were said again unchanged.

After a gap the acks of the last mark count as given once it must have left the channel. A test shows module and view.

--- a/corallanding/node/service.py
+++ b/corallanding/node/service.py
@@ -56,6 +56,8 @@
         self.intake = Intake(s, config.places, self.view.dials, self.news.tables)
         self.call_link = CallLink(config.store, self.calls, self.clock, self.stood)
         self.news_link = NewsLink(config.store, self.news, self.clock, self.tell, self.calls.touched, self.said)
+        self.news_link.gap = self.gap
+        self.marked, self.marked_at = -1, 0.0  # the last mark ordered, and when
         self.agent = Agent(config.discovery, self, s.list_on_request)
         self.agent.said = lambda text: self.seldom.warn("discovery", text)
         self.prober = Prober(
@@ -199,6 +201,16 @@
             self.said(text)
         self.calls.said.clear()
 
+    def gap(self) -> None:
+        """News goes on after a gap: acks of what has left the channel by now were lost in it."""
+        s = self.config.settings
+        over = self.marked_at + s.queue_most * 1000.0 / s.channel_rate + s.transit_most
+        self.loop.call_later(max(0.0, over - self.clock()) / 1000.0, self.lost, self.marked)
+
+    def lost(self, mark: int) -> None:
+        if mark >= 0:
+            self.tell(self.news.lost(mark))
+
     # ---- turns -------------------------------------------------------------------------------------------
 
     def wake(self) -> None:
@@ -262,6 +274,9 @@
                         log.info("module: %s", a.text)
                 case api.Point() | api.Tell():
                     self.said(f"the platform has no way to do this: {a}")
+        for o in orders:
+            if isinstance(o, api.Mark):
+                self.marked, self.marked_at = o.number, now
         if orders:
             if self.trace:
                 log.info("orders: %s", trace.orders(orders))
--- a/corallanding/relay/link.py
+++ b/corallanding/relay/link.py
@@ -197,7 +197,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.lines: asyncio.TimerHandle | None = None
         self.wait, self.closed, self.settled_once = 0.0, False, False
-        self.breaks = 0
+        self.breaks = self.bridged = 0
+        self.gap: Callable[[], None] = lambda: None  # told when news goes on after a gap
 
     def start(self) -> None:
         self.watch()
@@ -282,6 +283,9 @@
             self.current.drop()
         self.current, self.coming, self.wait, self.settled_once = session, None, 0.0, True
         self.tell(self.news.settled(standing, self.under_way()))
+        if self.breaks > self.bridged:
+            self.bridged = self.breaks
+            self.gap()
         self.dial()
 
     def lines_come(self) -> None:
--- a/corallanding/relay/news.py
+++ b/corallanding/relay/news.py
@@ -158,6 +158,14 @@
             del self.tables[slice]  # in place: reports are checked against this very table
         return [*out, *self.given(), *(a for a in s.acks if isinstance(a, api.Acked) and a.proxy in self.proxies)]
 
+    def lost(self, mark: int) -> list[api.Event]:
+        """Acks up to `mark` that fell into a gap of the news never come: they count as given.
+
+        Guards against a module that waits for them for good, with its queue full by its own count: it may then not even
+        send the mark whose acks would clear it. Could free a queue that is not empty yet if asked too early.
+        """
+        return [api.Acked(proxy, mark) for proxy in self.proxies]
+
     def stands(self, o: api.SetLine | api.ResetTable) -> None:
         """The relay confirmed this order."""
         rows = self.tables.get(o.slice)
--- a/tests/test_relay_news.py
+++ b/tests/test_relay_news.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -9,6 +10,7 @@
 from platform_front import HOSTS, SETTINGS, ZONES, attach, entry, owner, told
 
 from corallanding import interface as api
+from corallanding.balance import Assigner
 from corallanding.relay.news import BadNews, News, Standing
 
 Row = tuple[str, dict[str, Any]]
@@ -90,3 +92,17 @@
 def test_news_that_cannot_be_used_is_named(method: str, params: dict[str, Any]) -> None:
     with pytest.raises(BadNews):
         say(begun(), (method, params))
+
+
+def test_acks_lost_in_a_gap_do_not_hold_up_drains_for_good() -> None:
+    """A full queue by the module's own count, and nothing that would clear it: incident of a silent relay."""
+    proxies, hosts = range(20), [api.HostEntry(h) for h in HOSTS]
+    settings = replace(SETTINGS, queue_most=20 * 30.0)
+    news, module = News(settings, ZONES), Assigner(settings, 1)
+    events = stand(news, *(attach(p) for p in proxies), *(owner(s) for s in range(8)))
+    module.step(1e9, [api.Membership(api.ListForm.FULL, 1, tuple(hosts)), *events])
+    gone = [replace(h, state="draining") for h in hosts[:2]]
+    drain = api.Membership(api.ListForm.CHANGES, 2, tuple(gone))
+    assert not [a for a in module.step(1e9 + 2_000, [drain]) if isinstance(a, api.SetLine | api.Cordon)]
+    said = module.step(1e9 + 2_001, [*news.lost(module.mark), api.Due(0)])
+    assert [a for a in said if isinstance(a, api.SetLine | api.Cordon)]
