Reread of the platform's front: what was dead or said thrice is gone

Calls.unsent handled an outstanding call that a dial never leaves (CallLink.kick returns while one flies); NewsLink.open set its address twice; Agent counted failures that nobody read; the check of a slice's number stood three times; acks of what stands had a wider type than they hold.

--- a/corallanding/discovery/agent.py
+++ b/corallanding/discovery/agent.py
@@ -96,7 +96,7 @@
         self.conn: Conversation | None = None
         self.task: asyncio.Task[None] | None = None
         self.moving: asyncio.Task[None] | None = None
-        self.failures = self.polls = 0
+        self.polls = 0
         self.said: Callable[[str], None] = lambda text: None
 
     def start(self) -> None:
@@ -126,7 +126,6 @@
                     raise Lost("an answer that cannot be read")
                 again = 0.0
             except Lost as fault:
-                self.failures += 1
                 if self.asked:
                     # One word for each call that failed; the module asks again as it sees fit.
                     self.following = False
--- a/corallanding/relay/calls.py
+++ b/corallanding/relay/calls.py
@@ -211,11 +211,7 @@
         self.failed += 1
 
     def unsent(self, now: float) -> None:
-        """There is no way to the relay: nothing was sent."""
-        if call := self.flying:
-            self.flying = None
-            self.sent.pop()
-            self.put_back(call.orders)
+        """There is no way to the relay: nothing was sent, all still waits."""
         self.back_off(now)
 
     def back_off(self, now: float) -> None:
--- a/corallanding/relay/link.py
+++ b/corallanding/relay/link.py
@@ -227,7 +227,6 @@
             self.task = self.loop.create_task(self.open())
 
     async def open(self) -> None:
-        where = self.where
         try:
             if self.wait:
                 await asyncio.sleep(self.wait / 1000.0)
--- a/corallanding/relay/news.py
+++ b/corallanding/relay/news.py
@@ -36,7 +36,7 @@
 
     proxies: dict[int, api.ProxyJoined] = field(default_factory=dict)
     tables: dict[int, dict[int, float]] = field(default_factory=dict)
-    acks: list[api.Event] = field(default_factory=list)
+    acks: list[api.Acked] = field(default_factory=list)
 
 
 def count(params: dict[str, Any], key: str, most: int) -> int:
@@ -84,7 +84,7 @@
             case "done":
                 s.acks.append(self.acked(p))
             case "owner":
-                slice = count(p, "shard", max(1, self.set.slices))
+                slice = self.slice(p)
                 if p.get("set"):
                     s.tables[slice] = {}
                 else:
@@ -109,7 +109,7 @@
                 ack = self.acked(p)
                 return [ack] if ack.proxy in self.proxies else []
             case "owner":
-                slice = count(p, "shard", max(1, self.set.slices))
+                slice = self.slice(p)
                 if p.get("set"):
                     self.giving[slice] = {}
                     return []
@@ -156,7 +156,7 @@
                 self.giving[slice] = rows
         for slice in [slice for slice in self.tables if slice not in s.tables]:
             del self.tables[slice]  # in place: reports are checked against this very table
-        return [*out, *self.given(), *(a for a in s.acks if isinstance(a, api.Acked) and a.proxy in self.proxies)]
+        return [*out, *self.given(), *(a for a in s.acks if a.proxy in self.proxies)]
 
     def lost(self, mark: int) -> list[api.Event]:
         """Acks up to `mark` that fell into a gap of the news never come: they count as given.
@@ -183,6 +183,9 @@
     def proxy(self, p: dict[str, Any]) -> int:
         return count(p, "node", self.set.proxies)
 
+    def slice(self, p: dict[str, Any]) -> int:
+        return count(p, "shard", max(1, self.set.slices))
+
     def joined(self, p: dict[str, Any]) -> api.ProxyJoined:
         zone = self.zones.get(str(p.get("locality")))
         if zone is None:
@@ -197,4 +200,4 @@
             host = number(str(p.get("endpoint")))
         except ValueError:
             raise BadNews(f"endpoint={p.get('endpoint')!r}") from None
-        return count(p, "shard", max(1, self.set.slices)), host, figure(p, "w")
+        return self.slice(p), host, figure(p, "w")
