Several stewards round a cold server's part to whole slices in turns

Laid over the sums of all five stewards, at 20 s the hundred new ones get 155 of 2,460 tries a second at 250 ms, the hundred old ones the rest at 1,060 ms, 46% unanswered. A line a second of the module's view: of 100 cold servers, all proven, 2 to 20 may take anything.

Cause: balance.py survey and best. A steward's fair part of a cold server is a fifth of the server's, less than one of its slices (1.1 slices a server at 227 slices and 200 servers), and best passes over what does not fit. Harmless in one steward, harmful in five. Ruled out: newcomers not proven (all were shown to be alive), the channel (room for 93 to 250 lines a reply).

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -179,7 +179,7 @@
         return self.out
 
     def ahead(self, marks: int) -> bool:
-        """Mark ahead of need, while nothing else is to be done: false once nothing is left. Decides nothing."""
+        """Mark ahead of need, while nothing else is to be done: false once nothing is left."""
         return self.ranks.warm(self.slices, marks)
 
     def host(self, id: int) -> Host:
@@ -367,8 +367,15 @@
         self.mean = total / space if space else 0.0
         for h in self.hosts.values():
             h.fair = h.space * (min(self.mean, self.peak) if h.chilly else self.mean)
+        usual = total / (len(self.slices) or 1)
         for h in self.pool:
             h.pooled, h.sound = True, h.stress <= (CROWDED if h.chilly else self.strained)
+            if h.chilly and self.set.stewards > 1 and usual:
+                # At each of many stewards its part is less than a slice, and all would leave it idle. They
+                # round to whole slices, another first at each server, so that all together round but once.
+                place = (zlib.crc32(b"%d" % h.id) + self.set.me) % self.set.stewards
+                whole = math.floor(h.fair / usual + (place + 0.5) / self.set.stewards)
+                h.fair, h.sound = whole * usual or h.fair, h.sound and whole > 0
         room = [(ROOM * h.fair - h.load if h.fair else math.inf, h) for h in self.pool if h.sound]
         self.spare, self.shifted = sorted(room, key=lambda row: row[0]), {}
         self.heaviest = 1.2 * max((h.entry.weight for h in self.pool), default=0.0)  # over ROOM * 1.05
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -327,3 +327,25 @@
     assert rigs[0].lines == rigs[1].lines and len(whole.hosts) == 604
     assert len(a.hosts) < 100 and len(a.ranks.servers) <= len(a.hosts) and len(a.ranks.known) <= len(a.hosts)
     assert all(len(values) <= a.ranks.kept for values, _ in a.ranks.rows.values())
+
+
+def test_five_stewards_round_a_cold_servers_part_but_once() -> None:
+    """Each steward holds a slice a server; a cold server's part of that at each is less than a slice."""
+    warm, new = [up(h) for h in range(31, 39)], [up(h, since=Rig.START + 2_000.0) for h in range(51, 59)]
+    rigs = [Rig(stewards=5, me=me, slices=40) for me in range(5)]
+    given = dict.fromkeys([h.host for h in new], 0)
+    for rig in rigs:
+        rig.start(warm, {s: 31 + s for s in range(8)})
+        rig.run(3, lambda: sums(dict.fromkeys(range(31, 39), 20)))
+        listed(rig, *new)
+        rig.run(1.5, lambda: sums(dict.fromkeys(range(31, 39), 20)))
+        rig.lines = []
+        listed(rig, *(up(h, "draining") for h in range(31, 34)))
+        for s in rig.assigner.slices.values():
+            if s.owner and s.owner.id in given:
+                given[s.owner.id] += 1
+    part = rigs[0].assigner.hosts[51].space / sum(h.space for h in rigs[0].assigner.hosts.values()) * 40
+    rigs[0].lines = []
+    rigs[0].say(f"three of eight servers drain at five stewards of 8 slices each; a new one's part is {part:.1f} of 40")
+    rigs[0].say("they are given " + " ".join(f"{h}:{n}" for h, n in given.items()))
+    rigs[0].check("five_stewards")
