The most a fleet was seen to answer follows a steward's part of the slices

Lines at fault: balance.py survey, the peak kept as a figure of this steward's own work, and looked at by the age of the steward. Change: it is kept for all slices and taken by the part held now; it is looked at again a window after slices came or went.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -128,7 +128,7 @@
         self.room, self.orders = 0.0, 0  # lines that may still go out in this step, and those that did
         self.median = self.usual = 0.0  # strain and speed (as `Host.floor`) of the median server
         self.typical: dict[int, float] = {}  # speed of each kind's median server
-        self.done = self.asked = self.faded_at = 0.0
+        self.done = self.asked = self.faded_at = self.shared_at = 0.0
         self.peak = self.born = math.inf
         self.window = self.wait = settings.report_every
         self.turn = max(settings.report_every / 2, settings.period)
@@ -159,6 +159,7 @@
                     self.probed(e)
                 case api.SliceGiven():
                     self.slices.pop(e.slice, None)
+                    self.shared_at = now
                     if e.on:
                         self.slices[e.slice] = Slice(e.slice)
                         self.urgent = self.levels_due = True
@@ -361,12 +362,16 @@
         self.strained = max(CROWDED, WORSE * self.median)
         # A cold server's part is of the most that the fleet was seen to answer: what is asked pushes it over.
         unit = math.log(2.0) * 1000.0 / (PEAK_SPAN * self.set.report_every)
-        if space and self.now - self.born > 2 * PEAK_SPAN * self.set.report_every:  # else too little is known
-            self.peak = max(self.peak if self.peak < math.inf else 0.0, self.done * unit / space)
-        self.fit = self.peak * space / max(self.asked * unit, 0.001)  # what part of the demand it can answer
+        # The peak is of all the work: what a steward is given or loses of it changes its part at once.
+        part = len(self.slices) / (self.set.slices or 1)
+        known = self.now - self.shared_at > max(2 * PEAK_SPAN * self.set.report_every, self.window)
+        if space and part and known:  # else too little is known
+            self.peak = max(self.peak if self.peak < math.inf else 0.0, self.done * unit / space / part)
+        peak = self.peak * part if part else math.inf
+        self.fit = peak * space / max(self.asked * unit, 0.001)  # what part of the demand it can answer
         self.mean = total / space if space else 0.0
         for h in self.hosts.values():
-            h.fair = h.space * (min(self.mean, self.peak) if h.chilly else self.mean)
+            h.fair = h.space * (min(self.mean, peak) if h.chilly else self.mean)
         usual = total / (len(self.slices) or 1)
         for h in self.pool:
             h.pooled, h.sound = True, h.stress <= (CROWDED if h.chilly else self.strained)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -349,3 +349,27 @@
     rigs[0].say(f"three of eight servers drain at five stewards of 8 slices each; a new one's part is {part:.1f} of 40")
     rigs[0].say("they are given " + " ".join(f"{h}:{n}" for h, n in given.items()))
     rigs[0].check("five_stewards")
+
+
+def test_a_steward_that_takes_over_counts_with_what_the_fleet_was_seen_to_answer_for_all() -> None:
+    rig = Rig(slices=16)
+    rig.start(HOSTS, EVEN)
+    rig.run(20, all_well)
+    a, parts = rig.assigner, list[float]()
+    listed(rig, up(15, since=rig.now))
+    for more in ((), range(8, 16)):
+        rig.step(*(e for s in more for e in (api.SliceGiven(s, True), api.OnRecord(s, 11 + s % 4, 1.0))))
+        rig.run(2, all_well)
+        h = a.hosts[15]
+        parts.append(h.fair / h.space / a.mean)
+    rig.lines = []
+    rig.say("another steward dies and its slices come; a cold server's part, to that of a warm one of its capacity, is")
+    rig.say(f"{parts[0]:.2f} before and {parts[1]:.2f} after")
+    rig.check("takes_over")
+
+
+def test_too_little_is_known_until_sums_of_all_slices_have_come() -> None:
+    rig = Rig(reports_per_s=1.8)
+    rig.start(HOSTS, EVEN)
+    rig.run(10, lambda: [api.HostSums(1, 11, 20, 0, 200.0, 5000.0)])
+    assert rig.assigner.window > 10_000 and rig.assigner.peak == float("inf")
