--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -364,8 +364,8 @@
         unit = math.log(2.0) * 1000.0 / (PEAK_SPAN * self.set.report_every)
         # The peak is of all the work: what a steward is given or loses of it changes its part at once.
         part = len(self.slices) / (self.set.slices or 1)
-        known = self.now - self.shared_at > max(2 * PEAK_SPAN * self.set.report_every, self.window)
-        if space and part and known:  # else too little is known
+        told = self.now - self.shared_at > max(2 * PEAK_SPAN * self.set.report_every, self.window)
+        if space and part and told:  # else too little is known
             self.peak = max(self.peak if self.peak < math.inf else 0.0, self.done * unit / space / part)
         peak = self.peak * part if part else math.inf
         self.fit = peak * space / max(self.asked * unit, 0.001)  # what part of the demand it can answer
