--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -195,6 +195,7 @@
 
     def __init__(self, config: dict[str, Any], path: Path) -> None:
         self.config, self.path = config, path
+        self.command = [sys.executable, "-m", "corallanding.node"]
         self.write()
 
     def write(self, **other: Any) -> None:
@@ -203,9 +204,7 @@
 
     async def start(self) -> None:
         env = {**os.environ, "LB_CONFIG": str(self.path)}
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "corallanding.node", env=env, stderr=asyncio.subprocess.PIPE
-        )
+        self.process = await asyncio.create_subprocess_exec(*self.command, env=env, stderr=asyncio.subprocess.PIPE)
 
     def signal(self, sign: signal.Signals) -> None:
         self.process.send_signal(sign)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -46,7 +46,9 @@
         return row(host, health, dial=self.dial)
 
 
-def day(tmp_path: Path, scene: Callable[[Day], Awaitable[None]]) -> None:
+def day(tmp_path: Path, scene: Callable[[Day], Awaitable[None]], command: list[str] | None = None) -> None:
+    """command: how the steward is started, if not as the platform does."""
+
     async def play() -> None:
         relay, hosts = Relay(), Hosts()
         dial = await hosts.open()
@@ -57,6 +59,7 @@
         config = {**TOP, "listen": free(), "discovery": await agent.open(), "store": {"address": await relay.open()},
                   "known": {"seq": 1, "whole": True, "hosts": rows}}  # fmt: skip
         d = Day(relay, agent, hosts, dial, Process(config, tmp_path / "config.json"))
+        d.steward.command = command or d.steward.command
         await d.steward.start()
         try:
             await d.alive()
