A call that may be carried out twice counts twice in the channel's queue

Lines at fault: relay/calls.py unknown and next_at: a call sent again counted for the cap on messages, not for the queue. Change: the calls count what the channel may hold at its stated rate and wait until a call fits; a mark applied proves a doubted call carried out, and it is not sent again. Tests with any outcomes of any calls; they fail without the count.

--- a/corallanding/node/service.py
+++ b/corallanding/node/service.py
@@ -17,7 +17,7 @@
 from ..discovery.core import BadAnswer, View
 from ..names import name
 from ..probe.prober import Prober
-from ..relay.calls import Calls, Order
+from ..relay.calls import Calls, Channel, Order
 from ..relay.link import CallLink, NewsLink
 from ..relay.news import News
 from ..steward.turns import Turns
@@ -52,7 +52,8 @@
         self.turns = Turns(Assigner(s, config.seed))
         self.view = View(config.places.zones, config.kinds)
         self.news = News(s, config.places.zones)
-        self.calls = Calls(list(config.places.operations), s.messages_most, s.messages_span)
+        channel = Channel(s.queue_most, s.channel_rate, s.message_head, lambda: len(self.news.proxies))
+        self.calls = Calls(list(config.places.operations), s.messages_most, s.messages_span, channel)
         self.intake = Intake(s, config.places, self.view.dials, self.news.tables)
         self.call_link = CallLink(config.store, self.calls, self.clock, self.stood)
         self.news_link = NewsLink(config.store, self.news, self.clock, self.tell, self.calls.under_way, self.said)
@@ -155,6 +156,8 @@
         for e in events:
             if isinstance(e, api.SliceGiven) and not e.on:
                 self.calls.forget(e.slice)
+            if isinstance(e, api.Acked) and self.calls.doubted:
+                self.stood(self.calls.applied(e.number))
             if self.trace and isinstance(e, api.HostSums | api.SliceSums):
                 log.info("sums: %s", e)
             if self.trace and isinstance(e, api.SliceGiven | api.ProxyLeft | api.ProxyJoined):
--- a/corallanding/relay/calls.py
+++ b/corallanding/relay/calls.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -79,6 +79,36 @@
     error: Any = None
 
 
+@dataclass
+class Channel:
+    """What the relay's channel to the proxies holds at most of what was sent, at its stated rate. Lines; times in ms.
+
+    A call that goes again may be carried out twice: the module counts it once. Guards against a wave of drains that
+    fills more than half of the queue and is sent again. Would be late by the time of a queue where the first was lost.
+    """
+
+    most: float = float("inf")
+    rate: float = 1e9  # lines a second
+    head: float = 0.0  # of a message
+    proxies: Callable[[], int] = lambda: 0
+    held: float = 0.0
+    counted: float = 0.0
+
+    def cost(self, orders: int) -> float:
+        return (orders + self.head) * self.proxies()
+
+    def left(self, now: float) -> float:
+        self.held = max(0.0, self.held - (now - self.counted) * self.rate / 1000.0)
+        self.counted = now
+        return self.held
+
+    def free_at(self, now: float, orders: int) -> float:
+        """When so many orders fit, or all else has gone."""
+        held = self.left(now)
+        over = min(held, held + self.cost(orders) - self.most)
+        return now + max(0.0, over) * 1000.0 / self.rate
+
+
 @dataclass
 class Call:
     """bytes: the line to send. orders: what it holds, in turn."""
@@ -90,10 +120,14 @@
 
 class Calls:
     """operations: their names. messages_most, span: the channel's cap on messages, 0 is none: resent calls count too,
-    as any of them may have been carried out."""
+    as any of them may have been carried out, and so they do in the channel's queue."""
 
-    def __init__(self, operations: list[str], messages_most: int = 0, span: float = 10_000.0) -> None:
+    def __init__(
+        self, operations: list[str], messages_most: int = 0, span: float = 10_000.0, channel: Channel | None = None
+    ) -> None:
         self.operations, self.messages_most, self.span = operations, messages_most, span
+        self.channel = channel or Channel()
+        self.doubted: list[Order] = []  # of the last call of which nobody knew whether it was carried out
         self.waiting: dict[Key, Order] = {}
         self.flying: Call | None = None
         self.sent: deque[float] = deque()  # when calls went out that may have become messages
@@ -128,7 +162,7 @@
             self.sent.popleft()
         if self.messages_most and len(self.sent) >= self.messages_most:
             at = max(at, self.sent[0] + self.span)
-        return at
+        return max(at, self.channel.free_at(now, len(self.waiting)))
 
     def next(self, now: float) -> Call | None:
         """The call to be sent now, if any."""
@@ -149,6 +183,7 @@
         head = b'{"jsonrpc":"2.0","id":%d,"method":"relay.apply","params":{"ops":[' % self.counter
         self.flying = Call(self.counter, head + b",".join(raw) + b"]}}\n", orders)
         self.sent.append(now)
+        self.channel.held = self.channel.left(now) + self.channel.cost(len(orders))
         self.count["calls"] += 1
         return self.flying
 
@@ -170,7 +205,7 @@
         taken = answer.result.get("taken") if isinstance(answer.result, dict) else None
         if not isinstance(taken, int) or isinstance(taken, bool) or not 0 <= taken <= len(call.orders):
             return None
-        self.flying, self.failed, self.not_before = None, 0, 0.0
+        self.flying, self.failed, self.not_before, self.doubted = None, 0, 0.0, []
         if taken < len(call.orders):
             fault = call.orders[taken]
             self.count["refused"] += 1
@@ -185,31 +220,46 @@
         assert call
         if "Throttling" in said:
             self.count["turned away"] += 1
-            self.sent.pop()
+            self.unsaid(call)
             self.flying = None
             self.put_back(call.orders)
             self.back_off(now)
             return []
         if "ValidationError" in said:
             self.count["refused"] += 1
-            self.sent.pop()
+            self.unsaid(call)
             self.said.append(f"the relay calls this no call, it is dropped: {call.line[:300]!r}")
             self.flying = None
             return []
         return None
 
+    def unsaid(self, call: Call) -> None:
+        """It became no message."""
+        self.sent.pop()
+        self.channel.held = max(0.0, self.channel.held - self.channel.cost(len(call.orders)))
+
     def unknown(self, now: float) -> None:
         """No answer, a break, an unreadable one: carried out, or not at all. It goes again, with what waits."""
         call = self.flying
         if call is None:
             return
         self.count["unknown"] += 1
-        self.flying = None
+        self.flying, self.doubted = None, call.orders
         self.put_back(call.orders)
         if self.failed:
             self.back_off(now)
         self.failed += 1
 
+    def applied(self, number: int) -> list[Order]:
+        """A proxy has applied the mark: a call that held it was carried out. The orders that stand by it."""
+        if not any(isinstance(o, api.Mark) and o.number == number for o in self.doubted):
+            return []
+        stood, self.doubted = self.doubted, []
+        for o in stood:
+            if self.waiting.get(key(o)) is o:
+                del self.waiting[key(o)]
+        return stood
+
     def unsent(self, now: float) -> None:
         """There is no way to the relay: nothing was sent, all still waits."""
         self.back_off(now)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -68,7 +68,7 @@
     assert seen == []
     third = {m.split(".")[0] for m in modules} - sys.stdlib_module_names - {"corallanding", "__mp_main__"}
     third = {m for m in third if not m.startswith("_")}
-    assert third <= {"uvloop", "httptools", "msgspec", "cython_runtime", "typing_extensions"}, third  # the last if there
+    assert third <= {"uvloop", "httptools", "msgspec", "cython_runtime", "typing_extensions"}, third
     mine = {m for m in modules if m.startswith("corallanding.")}
     stray = {m for m in mine if m.split(".")[1] not in OWN} - SHARED - {"corallanding.steward", "corallanding.roster"}
     assert not stray, stray
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -6,10 +6,12 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from platform_front import HOSTS
 
 from corallanding import interface as api
-from corallanding.relay.calls import CALL_MOST, Call, Calls
+from corallanding.relay.calls import CALL_MOST, Call, Calls, Channel
 
 A, B, C = HOSTS[:3]
 
@@ -145,3 +147,45 @@
     c.order([api.SetLine(1, B, 1.0), api.ResetTable(1), api.SetLine(1, C, 1.0)])
     c.unknown(0.0)
     assert [(o["op"], o.get("endpoint")) for o in ops(c.next(0.0))] == [("DEL", None), ("SET", "s-2")]
+
+
+PROXIES, MOST, RATE = 100, 30_000.0, 20.0  # lines a millisecond
+
+
+def channel() -> Channel:
+    return Channel(MOST, RATE * 1000.0, 8.0, lambda: PROXIES)
+
+
+@given(st.lists(st.tuples(st.integers(1, 250), st.sampled_from("answered lost twice".split()), st.integers(1, 2_000))))
+def test_calls_sent_again_never_fill_the_channel_beyond_its_queue(story: list[tuple[int, str, int]]) -> None:
+    """Whatever was carried out, once or twice, at the stated rate: a wave of drains in a day of spoilt answers."""
+    c = calls(channel=channel())
+    now, held, mark = 0.0, 0.0, 0
+    for lines, what, wait in story:
+        # The module orders what by its own count, which knows no copies, fits nine tenths of the queue.
+        mark += 1
+        c.order([*(api.SetLine(n, A, float(mark)) for n in range(lines)), api.Mark(mark)])
+        while (at := c.next_at(now)) is not None:
+            held, now = max(0.0, held - (max(at, now) - now) * RATE), max(at, now)
+            call = c.next(now)
+            assert call
+            held += (len(call.orders) + 8) * PROXIES
+            assert held <= MOST + 1e-6
+            if what == "answered":
+                assert answer(c, result={"taken": len(call.orders)}) is not None
+            else:
+                c.unknown(now)
+                what = "answered" if what == "lost" else "lost"
+        held, now = max(0.0, held - wait * RATE), now + wait
+
+
+def test_a_mark_applied_proves_that_a_doubted_call_was_carried_out() -> None:
+    c = calls(channel=channel())
+    orders = [*(api.SetLine(n, A, 1.0) for n in range(200)), api.Mark(5)]
+    c.order(orders)
+    c.next(0.0)
+    c.unknown(10.0)
+    c.order([api.SetLine(3, A, 0.0)])
+    assert c.next(10.0) is None, "a second copy does not fit beside the first"
+    assert c.applied(4) == [] and c.applied(5) == orders and c.applied(5) == []
+    assert list(c.waiting.values()) == [api.SetLine(3, A, 0.0)], "only what came since is left to send"
