A slice unheard of is not given to a cold server

A slice unheard of counts as a usual one.

Lines at fault: balance.py best, which asks what a server may take, not what is known of the slice. The program as it stood may do the same; it gave cold servers next to nothing. Ruled out: several stewards adding up (two slices in all on each of the two servers, the other one quiet); a slice that grew later.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -398,7 +398,7 @@
 
         The caller does nothing with one whose own score is not above `least`.
         """
-        taken = (s.owner, *s.helpers)
+        taken, few = (s.owner, *s.helpers), FEW if s.rates else 0  # unheard of, it may be in great demand
         top: Host | None = None
         most = 0.0
         marks, servers = self.ranks.of(s.id)
@@ -407,7 +407,7 @@
                 return top  # nobody further down can score more
             if h.sound and h not in taken and (used := self.used(h, more)) <= ROOM:
                 value = h.entry.weight * mark_ * (ROOM * 1.05 - used)
-                if value > most and (h.taken < FEW or not h.chilly):
+                if value > most and (h.taken < few or not h.chilly):
                     top, most = h, value
         beyond = marks[-1] * self.heaviest if marks and not self.ranks.whole else 0.0
         if beyond > least or beyond and top and self.score(s, top) > least:
@@ -415,7 +415,7 @@
             first = bisect(self.spare, more * (1.0 - 1e-9), key=lambda row: row[0])
             for h in (*(h for _, h in self.spare[first:]), *self.shifted):
                 if h.sound and h not in taken and (used := self.used(h, more)) <= ROOM:
-                    if h.taken < FEW or not h.chilly:
+                    if h.taken < few or not h.chilly:
                         value = h.entry.weight * mark(s.id, h.id) * (ROOM * 1.05 - used)
                         top, most = (h, value) if value > most else (top, most)
         if top:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -373,3 +373,17 @@
     rig.start(HOSTS, EVEN)
     rig.run(10, lambda: [api.HostSums(1, 11, 20, 0, 200.0, 5000.0)])
     assert rig.assigner.window > 10_000 and rig.assigner.peak == float("inf")
+
+
+def test_a_slice_unheard_of_is_not_given_to_a_cold_server() -> None:
+    rig = calm()
+    listed(rig, up(15, since=rig.now), up(16, since=rig.now))
+    rig.run(9, all_well)
+    rig.lines = []
+    rig.say("slices 2 and 6 come from another steward that restarts: they may be in great demand; 13, their server, drains")
+    rig.step(*(e for s in (2, 6) for e in (api.SliceGiven(s, False), api.SliceGiven(s, True), api.OnRecord(s, 13, 1.0))))
+    listed(rig, up(13, "draining"))
+    rig.say("sums of all slices come: when 11 drains, 15 and 16, cold still, take what they can")
+    rig.run(1, all_well)
+    listed(rig, up(11, "draining"))
+    rig.check("unheard_of")
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -50,7 +50,7 @@
     """`best`, by its sentence, over all hosts."""
     taken = [s.owner, *s.helpers]
     room = [h for h in a.pool if h not in taken and a.used(h, more) <= ROOM]
-    room = [h for h in room if h.taken < FEW or not a.cold(h)]
+    room = [h for h in room if s.rates and h.taken < FEW or not a.cold(h)]
     room = [h for h in room if h.strain(a.tight) <= (CROWDED if a.cold(h) else a.strained)]
     if room:
         return max(room, key=lambda h: h.entry.weight * mark(s.id, h.id) * (ROOM * 1.05 - a.used(h, more)))
@@ -71,6 +71,7 @@
     for s in range(hosts[1]):
         events += [api.SliceGiven(s, True), api.OnRecord(s, r.randrange(hosts[0]), 1.0)]
     a.step(100_000.0, events)
+    a.step(100_001.0, [api.SliceSums(s, 0, 9, 0, 9_000.0) for s in range(0, hosts[1], 2)])
     for _ in range(30):
         for h in a.hosts.values():
             h.load = r.uniform(0.0, 2.2) * h.fair if r.random() < 0.8 else 0.0
