--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -398,7 +398,7 @@
 
         The caller does nothing with one whose own score is not above `least`.
         """
-        taken, few = (s.owner, *s.helpers), FEW if s.rates else 0  # unheard of, it may be in great demand
+        taken, few = (s.owner, *s.helpers), FEW if s.rates or not s.helpers else 0  # unheard of, in demand
         top: Host | None = None
         most = 0.0
         marks, servers = self.ranks.of(s.id)
@@ -612,7 +612,7 @@
                     self.write(s)
         left = MARKS
         for s, owner in [(s, s.owner) for s in self.slices.values() if s.owner]:
-            if s.helpers and s.rate / len(s.helpers) < HOT / 2 * owner.space * self.mean:
+            if s.helpers and s.rates and s.rate / len(s.helpers) < HOT / 2 * owner.space * self.mean:
                 s.helpers.remove(min(s.helpers, key=lambda h: self.score(s, h)))
                 self.write(s)
             # Counted, not seen in the lists: what was worked out ahead must not change what is decided.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -375,15 +375,15 @@
     assert rig.assigner.window > 10_000 and rig.assigner.peak == float("inf")
 
 
-def test_a_slice_unheard_of_is_not_given_to_a_cold_server() -> None:
+def test_a_slice_given_in_demand_stays_shared_until_it_is_heard_of() -> None:
     rig = calm()
     listed(rig, up(15, since=rig.now), up(16, since=rig.now))
     rig.run(9, all_well)
     rig.lines = []
-    rig.say("slices 2 and 6 come from another steward that restarts: they may be in great demand; 13, their server, drains")
-    rig.step(*(e for s in (2, 6) for e in (api.SliceGiven(s, False), api.SliceGiven(s, True), api.OnRecord(s, 13, 1.0))))
+    rig.say("slices 2 and 6 come from another steward that restarts, 2 with the lines of one in demand; 13 drains")
+    rows = [api.OnRecord(s, h, 1.0) for s, h in ((2, 13), (2, 11), (2, 12), (6, 13))]
+    rig.step(*(api.SliceGiven(s, on) for on in (False, True) for s in (2, 6)), *rows)
     listed(rig, up(13, "draining"))
-    rig.say("sums of all slices come: when 11 drains, 15 and 16, cold still, take what they can")
-    rig.run(1, all_well)
-    listed(rig, up(11, "draining"))
+    rig.run(2)
+    assert {len(s.lines) for s in rig.assigner.slices.values() if s.id == 2} == {2} and not rig.assigner.slices[2].rates
     rig.check("unheard_of")
--- a/tests/test_golden.py
+++ b/tests/test_golden.py
@@ -50,7 +50,7 @@
     """`best`, by its sentence, over all hosts."""
     taken = [s.owner, *s.helpers]
     room = [h for h in a.pool if h not in taken and a.used(h, more) <= ROOM]
-    room = [h for h in room if s.rates and h.taken < FEW or not a.cold(h)]
+    room = [h for h in room if (s.rates or not s.helpers) and h.taken < FEW or not a.cold(h)]
     room = [h for h in room if h.strain(a.tight) <= (CROWDED if a.cold(h) else a.strained)]
     if room:
         return max(room, key=lambda h: h.entry.weight * mark(s.id, h.id) * (ROOM * 1.05 - a.used(h, more)))
@@ -85,6 +85,7 @@
         for h in r.sample(a.pool, len(a.pool) // 5):  # what a turn does to loads after its survey
             a.shift(h, -r.random() * h.load)
         for s in a.slices.values():
+            s.helpers = r.sample([*a.hosts.values()], r.choice((0, 0, 2)))
             more, must = r.choice((0.0, s.part, 3 * s.part)), r.random() < 0.5
             want = plain(a, s, more, must)
             assert a.best(s, more, must) is want
