Among several stewards a slice in great demand is shared at once

After a shed a server is judged again after PAUSE windows and the transit, 9.8 s at 6.3 s a window.

Change: spread, as many as it takes, by the demand and a whole server's part.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -370,6 +370,7 @@
         peak = self.peak * part if part else math.inf
         self.fit = peak * space / max(self.asked * unit, 0.001)  # what part of the demand it can answer
         self.mean = total / space if space else 0.0
+        self.whole = self.mean / (part or 1.0)  # the same of all stewards
         for h in self.hosts.values():
             h.fair = h.space * (min(self.mean, peak) if h.chilly else self.mean)
         usual = total / (len(self.slices) or 1)
@@ -572,8 +573,28 @@
             s.held = s.held if waits and self.now < s.hold_end else None
             self.write(s, all=True)
 
+    def spread(self) -> None:
+        """Where several stewards share the work, sums come seldom: a slice that asks for more than a whole
+        server, and jams its own, is shared at once with as many as it takes."""
+        for s in self.slices.values() if self.set.stewards > 1 else ():
+            h, wide = s.owner, len(s.helpers)
+            while h and h.stress > self.strained and s.part > h.space * self.whole:
+                less = s.rate / (2 + len(s.helpers))
+                to = self.best(s, less, must=True)
+                sound = to and to.run == 0 and to.taken < FEW and self.now - to.good_at <= 2 * self.window
+                if not to or to.chilly or not sound or to.stress * WORSE >= h.stress:
+                    break
+                for x in (h, *s.helpers):
+                    self.shift(x, less - s.part)
+                self.shift(to, less)
+                to.taken += 1
+                s.helpers.append(to)
+            if len(s.helpers) > wide:
+                self.write(s)
+
     def move(self) -> None:
         """Moves off live owners: off crowded ones, or won by a better score; gated and paced."""
+        self.spread()
         serves: dict[Host, dict[Slice, None]] = {}  # at least the slices of each, once one is to shed
         for h in [h for h in self.pool if self.now - h.shed_at > self.wait]:
             strain, used = h.stress, self.used(h)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -387,3 +387,19 @@
     rig.run(2)
     assert {len(s.lines) for s in rig.assigner.slices.values() if s.id == 2} == {2} and not rig.assigner.slices[2].rates
     rig.check("unheard_of")
+
+
+def test_a_slice_in_great_demand_is_shared_at_once_among_several_stewards() -> None:
+    hosts = [up(h) for h in range(31, 41)]
+    for stewards in (1, 2):
+        rig = Rig(stewards=stewards, slices=8 * stewards)
+        rig.start(hosts, {s: 31 + s for s in range(8)})
+        rig.run(3, lambda: sums(dict.fromkeys(range(31, 41), 20)))
+        rig.lines = []
+        rig.say(f"{stewards} stewards: slice 0 asks for more than half of all, 31 answers one in six")
+        hot = [api.SliceSums(0, 0, 150, 60, 1000.0)]
+        rig.run(2.1, lambda hot=hot: sums({31: 9, **dict.fromkeys(range(32, 41), 20)}, {31: 50}) + hot)  # type: ignore[misc]
+        shown = sorted(h.id for h in rig.assigner.slices[0].lines)
+        rig.lines = [line for line in rig.lines if line.startswith("#") or "slice=0," in line]
+        rig.say(f"after two seconds of it: {shown}")
+        rig.check(f"great_demand_{stewards}")
