The daemon's hall is split into rooms by concern, no behaviour changed

Now parts (what rooms share and ask of one another), turning, keeping, joining, hosts, passing, pages; daemon puts them together (311 lines). handover and links import no daemon: Owner and Speaker say what they need.

--- a/corallanding/steward/handover.py
+++ b/corallanding/steward/handover.py
@@ -11,7 +11,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable, Sequence
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import Generic, TypeVar
 
 import msgspec
 
@@ -22,11 +22,9 @@
 from ..upgrade.core import PROTOCOL, Do, New, Old, Phase
 from ..upgrade.pipe import Gone, Pipe, peer_of
 from .handed import Handed, hand, link_state
+from .parts import Parts
 from .revive import Unfit
 
-if TYPE_CHECKING:
-    from .daemon import Steward
-
 
 def halt(point: str) -> None:
     """Where tests end a process or let it stand still: CORALLANDING_HALT=<kill|stop>:<point>. Every step is named."""
@@ -96,7 +94,23 @@
         os.close(self.fd)
 
 
-def why_not(s: Steward) -> str:
+class Speaker(Parts):
+    """What a handover asks of the steward that speaks."""
+
+    @abstractmethod
+    async def pause(self) -> None: ...
+
+    @abstractmethod
+    async def ranked(self) -> list[marks.Row]: ...
+
+    @abstractmethod
+    def let_go(self) -> None: ...
+
+    @abstractmethod
+    def take_back(self) -> None: ...
+
+
+def why_not(s: Parts) -> str:
     """What of this steward cannot be handed over; empty if all can."""
     registry = s.config.registry
     if registry and registry.charge:
@@ -162,7 +176,7 @@
 
     name = "old"
 
-    def __init__(self, steward: Steward, command: list[str], within: float) -> None:
+    def __init__(self, steward: Speaker, command: list[str], within: float) -> None:
         self.s, self.command, self.core = steward, command, Old(within)
         self.arbiter = Arbiter(f"{steward.config.store.path}.handover")
         self.process: asyncio.subprocess.Process | None = None
--- /dev/null
+++ b/corallanding/steward/hosts.py
@@ -0,0 +1,143 @@
+"""What is known of hosts and where it comes from: lists, the registry, probes, load reports, peers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from importlib.util import find_spec
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from .. import interface as api
+from ..config.models import LoadReportsBlock, RegistryBlock
+from ..reports.feed import Feed
+from ..reports.weigh import changes, weigh
+from ..reports.worth import Policy
+from ..roster.source import LineRoster, Source
+from ..store import StoreFault
+from ..telemetry import log
+from .parts import ORIGIN, Parts
+
+if TYPE_CHECKING:
+    from ..registry.keeper import Keeper
+
+
+class Hosts(Parts):
+    """Each source ends as an event of the engine."""
+
+    def make_source(self) -> Source:
+        """Where the list of hosts comes from. Raises OSError if a file of it cannot be read."""
+        r, g, seed = self.config.roster, self.config.registry, self.config.steward.seed
+        if g:
+            from ..registry.source import make  # gRPC is imported only where it is asked for
+
+            chance = random.Random(f"{seed}:{self.engine.life.number}").random
+            return make(g, self, self.clock, chance, self.dial_registry)
+        assert r.address is not None
+        return LineRoster(
+            r.address, self, lambda: self.view.version, r.mode == "on_request", r.line_most_bytes, r.wait_ms,
+            r.wait_most_ms, r.timeout_ms, seed,
+        )  # fmt: skip
+
+    def make_keeper(self, g: RegistryBlock, slices: range) -> Keeper:
+        """Charge and tables of slices in the registry, shared with other stewards."""
+        from ..registry.charge import Terms
+        from ..registry.keeper import Keeper
+        from ..registry.sync import Limits as SyncLimits
+
+        me, limits = self.config.steward.number, SyncLimits(g.wait_ms, g.wait_most_ms, g.reads_per_min, g.page)
+        chance = random.Random(f"{self.config.steward.seed}:{me}:{self.engine.life.number}").random
+        dial = self.dial_registry(g, self.said)
+        return Keeper(dial, g.base, me, slices, self, self.clock, chance, Terms(g.lease_ms), limits)
+
+    def dial_registry(self, g: RegistryBlock, said: Callable[[str], None]) -> Callable[[], Any]:
+        from ..registry.source import etcd
+
+        return etcd(g, said)
+
+    def given(self, slice: int, lines: dict[int, float]) -> None:
+        """The registry gave a slice into our charge, with its table as kept there."""
+        self.engine.charged(self.clock(), slice, True, lines)
+        self.wake()
+
+    def taken(self, slice: int) -> None:
+        self.engine.charged(self.clock(), slice, False)
+        self.wake()
+
+    def said(self, text: str) -> None:
+        self.gate.warn("registry", why=text)
+
+    def make_feed(self, c: LoadReportsBlock) -> Feed:
+        """Raises OSError if the key cannot be read, or the libraries are not there."""
+        if not find_spec("xds"):
+            raise OSError("load_reports needs the extra: pip install 'corallanding[reports]'")
+        key = Path(c.key_file).read_bytes().strip().hex() if c.key_file else ""
+        names = ("listen", "sender_rate", "sender_burst", "processes_most", "reports_per_s", "tick_ms")
+        conf = {n: getattr(c, n) for n in (*names, "streams_most", "buffer_bytes")}
+        policy = Policy(
+            c.half_life_ms, c.expiry_ms, c.window_ms, c.step, c.floor, c.busy_from, c.tolerance, c.gain,
+            c.reporting_least, c.changes_most, c.stuck_after_ms, processes_most=c.processes_most,
+        )  # fmt: skip
+        zero = ORIGIN - self.clock.zero * 1000.0
+        conf["key"] = key
+        return self.feed_kind(conf, policy, self.clock, lambda: self.wall() * 1000.0, zero, self.reweigh, log)
+
+    def reweigh(self) -> None:
+        """Factors changed: the module hears of the hosts concerned, by the list that it reads."""
+        if self.feed is None or not self.listed:
+            return  # before the first list of this life the module would take the change for that list
+        before, self.factors = self.factors, self.feed.worth.factors()
+        event = changes(self.view.entries, self.view.version, before, self.factors)
+        self.metrics.factors.set(len(self.factors))
+        if event:
+            log.info("load factors", factors={str(h): round(f, 3) for h, f in self.factors.items()})
+            self.engine.event(self.clock(), event)
+            self.wake()
+
+    def roster_rows(self, full: bool, version: int, rows: list[Any]) -> None:
+        now = self.clock()
+        before = dict(self.view.addresses)
+        event = self.view.take(now, self.wall() * 1000.0, full, version, rows)
+        for text in self.view.bad:
+            self.metrics.bad_rows.inc()
+            self.gate.warn("roster entry left out", why=text)
+        self.metrics.roster_version.set(version)
+        self.metrics.hosts.set(len(self.view.entries))
+        moved = [h for h, a in self.view.addresses.items() if before.get(h, a) != a]
+        if moved:
+            self.engine.readdress(moved)
+        self.listed = True
+        if self.feed:
+            self.feed.listed(self.view.entries, self.view.starts, self.settings.cold)
+            self.factors = self.feed.worth.factors()
+            event = weigh(event, self.factors)
+        self.engine.event(now, event)
+        self.roster_dirty = True
+        self.wake()
+
+    def roster_failed(self, why: str) -> None:
+        self.metrics.roster_faults.inc()
+        self.gate.warn("roster failed", why=why)
+        if self.settings.list_on_request:
+            self.engine.event(self.clock(), api.Membership(api.ListForm.FAILED, self.view.version))
+            self.wake()
+
+    def keep_roster(self) -> None:
+        """Keep the list now and then, beside the steps: a crash may lose the last changes of it, no more."""
+        if self.clock() < self.store_again:
+            return
+        entries: Sequence[api.HostEntry] = tuple(self.view.entries.values())
+        try:
+            self.store.keep_roster(self.view.version, entries, self.view.addresses, self.view.starts)
+            self.roster_dirty = False
+        except StoreFault as fault:
+            self.gate.warn("list not kept", why=str(fault))
+
+    def probed(self, e: api.ProbeDone) -> None:
+        self.metrics.probes.labels(e.end.value).inc()
+        self.engine.event(self.clock(), e)
+        self.wake()
+
+    def peer_said(self, sender: int, payload: bytes) -> None:
+        self.engine.event(self.clock(), api.PeerMessage(sender, payload))
+        self.wake()
--- a/corallanding/steward/links.py
+++ b/corallanding/steward/links.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, cast
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol, cast
 
 from ..wire import frames
 from ..wire.frames import LinkFault
@@ -11,14 +12,37 @@
 from .handed import put_link
 
 if TYPE_CHECKING:
-    from .daemon import Steward
+    from ..config import StewardConfig
+    from ..telemetry import Gate, Metrics
+    from ..wire.link import Limits
     from .handed import LinkState
 
 
+class Owner(Protocol):
+    """What a link asks of the steward that it belongs to."""
+
+    config: StewardConfig
+    limits: Limits
+    gate: Gate
+    metrics: Metrics
+    links: dict[LinkProtocol, None]
+    forwarders: dict[int, LinkProtocol]
+    strangers: dict[LinkProtocol, None]
+
+    @property
+    def clock(self) -> Callable[[], float]: ...
+
+    def frame(self, link: LinkProtocol, frame: frames.Frame) -> None: ...
+
+    def takes(self, link: LinkProtocol, takes: bool) -> None: ...
+
+    def gone(self, link: LinkProtocol) -> None: ...
+
+
 class LinkProtocol(asyncio.Protocol):
     """One connection of a forwarder. `joined` once its tables were sent."""
 
-    def __init__(self, steward: Steward, handed: LinkState | None = None) -> None:
+    def __init__(self, steward: Owner, handed: LinkState | None = None) -> None:
         """handed: the connection was another process's."""
         self.steward, self.handed = steward, handed
         self.link = Link(steward.limits, steward.clock())
--- /dev/null
+++ b/corallanding/steward/passing.py
@@ -0,0 +1,182 @@
+"""Handing over to a new process, and taking over from an old one. `handover` drives it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Sequence
+from pathlib import Path
+
+from ..balance import Assigner
+from ..snapshot import marks
+from ..snapshot.module import load as load_module
+from ..store import StoreFault, StoreHeld
+from ..telemetry import log
+from ..upgrade.pipe import peer_of
+from .handed import Handed, take
+from .handover import Giver, Speaker, command_of, why_not
+from .revive import Unfit, boot_id, check
+
+FLUSH = 300.0  # ms that a link may take to send what was written before a handover
+RANKED = 300  # lists of marks made ready for a handover at a time: a few milliseconds
+
+
+class Passing(Speaker):
+    """Nothing is said by two processes at once: what was paused goes on only once the other is gone."""
+
+    def can_take(self, h: Handed) -> None:
+        """Whether this process can go on from there. Raises `Unfit`."""
+        check(h.state, self.config.steward.number, self.settings, boot_id(), h.state.life + 1)
+        try:
+            self.loaded = load_module(self.settings, h.state.module)
+        except (ValueError, TypeError) as fault:
+            raise Unfit(str(fault)) from None
+
+    def take_over(self, h: Handed, now: float, ranked: Sequence[marks.Row]) -> None:
+        v = self.view
+        v.version, v.entries = h.version, {e.host: e for e in h.entries}
+        v.addresses, v.starts, v.known = dict(h.addresses), dict(h.starts), set(h.known)
+        v.origins = {(host, started): since for host, started, since in h.state.origins}
+        self.engine.addresses = v.addresses
+        take(self.engine, h, self.channel, self.joins, now, self.loaded)
+        if self.loaded:
+            marks.put(self.loaded.ranks, ranked)
+        self.loaded = None
+        self.listed, self.factors = True, dict(h.factors)
+        self.metrics.factors.set(len(self.factors))
+
+    async def pause(self) -> None:
+        """Say nothing and hear nothing from here on; what was written has left, or its link ends."""
+        self.paused, self.paused_at = True, self.clock()
+        for handle in (self.timer, self.pump_timer, self.admitting):
+            if handle:
+                handle.cancel()
+        self.timer, self.timer_at = None, float("inf")
+        self.listener.hold(True)
+        if self.feed:
+            self.feed.hold()
+        if self.peers:
+            self.peers.hold(True)
+        for output in self.engine.publish(False):
+            self.carry_out(self.clock(), output)
+        for link in self.links:
+            if link.transport:
+                link.transport.pause_reading()
+        end = self.clock() + FLUSH
+        while (full := [x for x in self.links if x.unsent]) and self.clock() < end:
+            await asyncio.sleep(0.001)
+        for link in full:
+            link.end("not-reading", "")
+
+    async def ranked(self) -> list[marks.Row]:
+        """The module's lists of marks, a few slices at a time: this process is at work."""
+        module = self.engine.module
+        if not isinstance(module, Assigner):
+            return []
+        found, slices = list[marks.Row](), list(module.ranks.rows)
+        for k in range(0, len(slices), RANKED):
+            found += marks.out(module.ranks, slices[k : k + RANKED])
+            await asyncio.sleep(0.001)
+        return found
+
+    def let_go(self) -> None:
+        """The store is for another process now."""
+        self.keep_roster()
+        self.store.close()
+        self.store_shut = True
+
+    def take_back(self) -> None:
+        """Nothing came of the handover. Raises `StoreHeld` if the store is another's; one that cannot be opened, as on
+        a full disk, is tried again later, and tables go out unsaved until then."""
+        if not self.store_shut:
+            self.resume()
+            return
+        try:
+            life = self.store.open()
+        except StoreHeld:
+            raise
+        except StoreFault as fault:
+            log.error("the store cannot be opened again; tables go out unsaved", why=str(fault))
+            self.store_failed(self.clock(), str(fault), 1)
+            self.resume(True)  # nobody can say what the new process did
+            return
+        spoke = self.reopened(life)
+        if spoke:
+            # The new one had the store, and may have sent and kept orders before it was ended.
+            log.warning("the new process had begun to speak; tables are read again", life=life.number)
+            if self.recorder:
+                log.error("the recording ends here", why="the new process may have written to it")
+                self.recorder.close()
+                self.recorder = None
+            self.engine.reconcile(self.clock(), life)
+        self.resume(spoke)
+        self.greet_all()
+
+    def resume(self, anew: bool = False) -> None:
+        """Nothing came of the handover: all goes on. anew: forwarders may have heard another; all read again."""
+        self.paused = False
+        if self.feed:
+            self.feed.resume(anew)
+        if self.peers:
+            self.peers.hold(False)
+        if anew:
+            for link in [x for x in self.links if x.joined and not x.over]:
+                link.joined = False
+                self.join(link)
+        self.listener.hold(False)
+        for link in list(self.links):
+            if link.transport and not link.over:
+                link.transport.resume_reading()
+        self.admit()
+        self.pump()
+        self.wake()
+
+    async def upgrade(self, command: list[str] | None = None) -> str:
+        """Hand over to a new process; why nothing came of it, or "" once it speaks."""
+        if self.giving:
+            return "a handover is under way"
+        if why := why_not(self):
+            return why
+        self.giving = True
+        begun = self.clock()
+        try:
+            command = command or command_of(str(self.path))
+            log.info("handing over", command=" ".join(command))
+            giver = Giver(self, command, self.config.steward.upgrade_within_ms)
+            why = await giver.run()
+            self.successor = giver.process.pid if giver.process else 0
+        finally:
+            self.giving = False
+        if why:
+            log.error("handover came to nothing; this process carries on", why=why)
+        else:
+            now = self.clock()
+            log.info("handed over", ms=round(now - begun), silent_ms=round(now - self.paused_at, 1))
+        return why
+
+    async def open_control(self, path: str) -> None:
+        """The socket that `corallanding upgrade` speaks to: this user's only. Raises OSError."""
+        if Path(path).is_socket():
+            Path(path).unlink()  # of the process before this one
+        elif Path(path).exists():
+            raise OSError(f"steward.control: {path} is there, and is no socket")
+        self.control = await asyncio.start_unix_server(self.controlled, path)
+        os.chmod(path, 0o600)
+
+    async def controlled(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            _, uid = peer_of(writer.get_extra_info("socket"))
+            words = (await asyncio.wait_for(reader.readline(), 2.0)).decode("utf-8", "replace").split("\0")
+            if uid != os.getuid():
+                answer = "failed: another user"
+            elif words[0].strip() != "upgrade":
+                answer = f"failed: {words[0].strip()[:40]!r} is not known here"
+            else:
+                why = await self.upgrade([w.strip() for w in words[1:]] or None)
+                answer = f"failed: {why}" if why else f"ok: handed over to process {self.successor}"
+            writer.write(answer.encode() + b"\n")
+            await writer.drain()
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            writer.close()
--- /dev/null
+++ b/corallanding/steward/turning.py
@@ -0,0 +1,130 @@
+"""Steps: when one is due, what it decides is kept, then said."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from pathlib import Path
+
+from .. import interface as api
+from ..channel import Overrun
+from ..telemetry import log
+from . import engine as core
+from .parts import Parts
+
+AHEAD = 2_000  # marks of the module worked out at a time between steps: a millisecond or two
+
+
+class Turning(Parts):
+    """What happened becomes a step of the engine; what it hands out is kept first, then carried out."""
+
+    def wake(self) -> None:
+        """A step comes at the engine's next due time, and never sooner than a turn after the last."""
+        due = self.engine.next_at(self.clock())
+        if due is None or self.stopped is None or self.stopped.done() or self.writing or self.paused:
+            return
+        at = max(due, self.clock(), self.stepped_at + self.config.steward.turn_ms)
+        if at >= self.timer_at:
+            return
+        if self.timer:
+            self.timer.cancel()
+        self.timer_at = at
+        self.timer = asyncio.get_running_loop().call_later(max(0.0, at - self.clock()) / 1000.0, self.step)
+
+    def step(self) -> None:
+        begun = self.clock()
+        self.spent = 0.0
+        self.metrics.late.observe(max(0.0, begun - self.timer_at) / 1000.0)
+        self.timer, self.timer_at, self.stepped_at = None, float("inf"), begun
+        self.engine.store_waits = begun < self.store_again
+        try:
+            writes = self.engine.decide(begun)
+        except Exception:
+            # A module that fails has no state to go on from: a new life starts from the store.
+            log.exception("the module failed")
+            self.stop(3)
+            return
+        assert self.engine.last is not None
+        now, events, actions = self.engine.last
+        if self.steps_log and (events or actions):
+            self.steps_log.step(now, events, actions)
+            if self.steps_log.full:
+                # A log with a gap must not be taken up: without its snapshot it is nothing.
+                log.error("the log of steps ends here; the next snapshot begins another", why=self.steps_log.why)
+                Path(str(self.config.store.snapshot_path)).unlink(missing_ok=True)
+                self.steps_log.close()
+                self.steps_log = None
+        if self.recorder and (events or actions):
+            self.recorder.step(now, events, actions)
+            if self.recorder.full:
+                log.error("the recording ends here", why=self.recorder.why)
+                self.recorder.close()
+                self.recorder = None
+        if self.feed:
+            for e in events:
+                if isinstance(e, api.HostSums):
+                    self.feed.worth.seen(e.host, e.tries, e.errored, e.latency)
+        if not self.engine.overload.strained:  # detail that can wait
+            for kind, count in Counter(type(e).__name__ for e in events).items():
+                self.metrics.events.labels(kind).inc(count)
+            for kind, count in Counter(type(a).__name__ for a in actions).items():
+                self.metrics.actions.labels(kind).inc(count)
+        if self.keeper and begun >= self.store_again and (writes.lines or writes.resets):
+            # The next step waits for this one's write: what is sent is kept first, there too.
+            self.spent = self.clock() - begun
+            self.writing = asyncio.get_running_loop().create_task(self.keep_shared(begun))
+            return
+        stored = not self.store_faults if self.keeper else self.keep(begun, writes)
+        self.spent = self.clock() - begun
+        self.finish(begun, stored)
+
+    def finish(self, begun: float, stored: bool) -> None:
+        """The second half of a step."""
+        resumed = self.clock()
+        for output in self.engine.publish(stored):
+            self.carry_out(begun, output)
+        ended = self.clock()
+        self.engine.overload.stepped(ended, self.spent + ended - resumed)
+        self.metrics.step.observe((ended - begun) / 1000.0)
+        self.metrics.unsaved.set(len(self.engine.unsaved))
+        self.metrics.dropped_sums.set(self.engine.gather.dropped)
+        self.metrics.discarded.set(self.engine.discarded)
+        self.pump()
+        self.wake()
+        if not self.working_ahead:
+            self.working_ahead = True
+            asyncio.get_running_loop().call_soon(self.ahead)
+
+    def ahead(self) -> None:
+        """Between steps, a millisecond or two at a time."""
+        going = self.stopped is not None and not self.stopped.done()
+        self.working_ahead = going and self.engine.ahead(AHEAD)
+        if self.working_ahead:
+            asyncio.get_running_loop().call_later(0.001, self.ahead)
+
+    def carry_out(self, now: float, output: core.Output) -> None:
+        match output:
+            case core.Send():
+                try:
+                    self.channel.submit(
+                        now, output.frame, output.lines, output.mark, output.to, output.orders, output.urgent
+                    )
+                except Overrun as over:
+                    for forwarder in over.forwarders:
+                        if link := self.forwarders.get(forwarder):
+                            self.gate.warn("link cut off", forwarder=forwarder, why="the channel is full")
+                            link.end("overrun", "the channel is full: read the store")
+            case core.ProbeHost():
+                if output.address:
+                    self.prober.ask(output.host, output.address)
+                else:
+                    self.probed(api.ProbeDone(output.host, api.ProbeEnd.UNREACHABLE))
+            case core.FollowRoster():
+                self.roster.follow(output.on)
+            case core.FetchRoster():
+                self.roster.fetch()
+            case core.ToPeer():
+                if self.peers:
+                    self.peers.say(output.peer, output.payload)
+            case core.Say():
+                log.info("note", text=output.text)
