Budgets of the fleet in the steward: probes, moves, cold slices, emptied hosts

A budget block turns it on; without one nothing of it runs and the golden recordings are byte for byte the same. Drains and deaths by the list ask nothing.

Words go by the datagrams between stewards behind a byte that begins no msgpack; a datagram is now taken only from the address that its number has. A reload may change a budget's whole, nothing else of it. Each use can be witnessed to a file on the shared monotonic clock.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -11,7 +11,7 @@
 import zlib
 from bisect import bisect_left as bisect
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from . import interface as api
@@ -136,6 +136,8 @@
             self.turn = max(self.turn, settings.messages_span / (settings.messages_most * SPARE))
         self.table = [o.latency_objective for o in settings.operations]  # a row an operation
         self.tight = min(self.table, default=1000.0)
+        # What all stewards together may do (docs/budgets.md): kind, server, whether it is done now.
+        self.may: Callable[[str, int, bool], bool] = lambda kind, host, now: True
 
     def step(self, now: float, events: Sequence[api.Event]) -> list[api.Action]:
         self.now, self.out = now, []
@@ -269,6 +271,8 @@
 
     def failing(self, h: Host) -> None:
         if self.now - h.failed_at > CLEAR:
+            if not self.may("emptied", 0, True):
+                return
             self.out.append(api.Note(f"failing {h.id} good={h.good:.1f} bad={h.bad:.1f}"))
             self.urgent = True
         h.failed_at = self.now
@@ -408,7 +412,7 @@
                 return top  # nobody further down can score more
             if h.sound and h not in taken and (used := self.used(h, more)) <= ROOM:
                 value = h.entry.weight * mark_ * (ROOM * 1.05 - used)
-                if value > most and (h.taken < few or not h.chilly):
+                if value > most and self.open(h, few):
                     top, most = h, value
         beyond = marks[-1] * self.heaviest if marks and not self.ranks.whole else 0.0
         if beyond > least or beyond and top and self.score(s, top) > least:
@@ -416,7 +420,7 @@
             first = bisect(self.spare, more * (1.0 - 1e-9), key=lambda row: row[0])
             for h in (*(h for _, h in self.spare[first:]), *self.shifted):
                 if h.sound and h not in taken and (used := self.used(h, more)) <= ROOM:
-                    if h.taken < few or not h.chilly:
+                    if self.open(h, few):
                         value = h.entry.weight * mark(s.id, h.id) * (ROOM * 1.05 - used)
                         top, most = (h, value) if value > most else (top, most)
         if top:
@@ -455,12 +459,22 @@
         if s.owner:
             self.shift(s.owner, -s.part)
         self.shift(h, s.part)
-        h.taken += 1
+        self.begin(h)
         s.held, s.owner, s.want = s.owner if hold else None, h, None
         s.helpers = [x for x in s.helpers if x is not h]
         s.hold_mark, s.hold_end = (self.mark + 1) % WRAP, self.now + HOLD
         self.write(s)
 
+    def open(self, h: Host, few: int) -> bool:
+        """A cold server takes its few slices in a window, of all stewards together what they agreed on."""
+        return not h.chilly or h.taken < few and self.may("cold_slices", h.id, False)
+
+    def begin(self, h: Host) -> None:
+        """A slice is given to it."""
+        h.taken += 1
+        if h.chilly:
+            self.may("cold_slices", h.id, True)
+
     def plan(self, turn: bool) -> None:
         self.orders = 0
         if not self.may_send(True):
@@ -587,7 +601,7 @@
                 for x in (h, *s.helpers):
                     self.shift(x, less - s.part)
                 self.shift(to, less)
-                to.taken += 1
+                self.begin(to)
                 s.helpers.append(to)
             if len(s.helpers) > wide:
                 self.write(s)
@@ -622,7 +636,7 @@
                     if share:
                         self.shift(h, less - s.part)
                         self.shift(to, less)
-                        to.taken += 1
+                        self.begin(to)
                         s.helpers.append(to)
                         serves.setdefault(to, {})[s] = None
                     elif s.owner is h:
@@ -660,4 +674,5 @@
             if self.now - to.shown > self.set.report_every:
                 self.probe(to)
         known = to.run == 0 and self.now - to.good_at <= 2 * self.window
-        return to.run < RUN and to.taken < FEW and (known or self.now - s.want_at >= self.set.report_every)
+        ready = known or self.now - s.want_at >= self.set.report_every
+        return to.run < RUN and to.taken < FEW and ready and self.may("moves", 0, True)
--- a/corallanding/config/models.py
+++ b/corallanding/config/models.py
@@ -5,29 +5,14 @@
 from pathlib import Path
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+from pydantic import Field, model_validator
 
 from .. import interface as api
-from ..roster.view import loopback
+from .blocks import Address, Block, Count, Ms, MsOrNone, Ratio
+from .budgets import BudgetBlock, BudgetsBlock
 from .hcl import load
 
 
-def on_loopback(address: str) -> str:
-    loopback(address)
-    return address
-
-
-Address = Annotated[str, AfterValidator(on_loopback)]
-Ms = Annotated[float, Field(gt=0, le=86_400_000)]
-MsOrNone = Annotated[float, Field(ge=0, le=86_400_000)]
-Count = Annotated[int, Field(ge=1, le=1_000_000)]
-Ratio = Annotated[float, Field(ge=0, le=1)]
-
-
-class Block(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True, strict=False)
-
-
 class Identity(Block):
     listen: Address
     number: Annotated[int, Field(ge=0, le=65535)] = 0
@@ -270,6 +255,30 @@
     record: RecordBlock = RecordBlock()
     prices: PricesBlock = PricesBlock()
     load_reports: LoadReportsBlock | None = None
+    budget: dict[str, BudgetBlock] = {}
+    budgets: BudgetsBlock = BudgetsBlock()
+
+    @model_validator(mode="after")
+    def shared(self) -> StewardConfig:
+        me, peers = self.steward.number, {int(n) for n in self.steward.peers if n.isdigit()}
+        for name, one in self.budget.items():
+            if fault := one.fault(name, self.stewards_most):
+                raise ValueError(fault)
+        if not self.budget:
+            return self
+        if self.stewards_most > 1 and not (self.steward.peers and self.steward.peer_listen):
+            raise ValueError("budget: with more than one steward it needs steward.peer_listen and steward.peers")
+        if len(peers) < len(self.steward.peers) or me in peers:
+            raise ValueError("steward.peers: keys must be numbers of other stewards")
+        if max([me, *peers]) >= self.stewards_most:
+            raise ValueError(f"budgets.stewards_most is {self.stewards_most}: all numbers must be below")
+        if strange := sorted(set(self.budgets.voters) - {me, *peers}):
+            raise ValueError(f"budgets.voters: {strange} are neither this steward nor peers")
+        return self
+
+    @property
+    def stewards_most(self) -> int:
+        return self.budgets.stewards_most or self.steward.stewards
 
     @model_validator(mode="after")
     def whole(self) -> StewardConfig:
--- a/corallanding/lab/scenario.py
+++ b/corallanding/lab/scenario.py
@@ -8,21 +8,17 @@
 
 from pydantic import Field, model_validator
 
+from ..config.blocks import Block, Count, Ms, MsOrNone, Ratio
 from ..config.hcl import ConfigFault, load
 from ..config.models import (
-    Block,
     ChannelBlock,
-    Count,
     ForwardersBlock,
     LoadReportsBlock,
-    Ms,
-    MsOrNone,
     OperationBlock,
     ProbeBlock,
-    Ratio,
     ReportsBlock,
     RulesBlock,
-)  # fmt: skip
+)
 
 KINDS = (
     "crash", "deploy", "drain", "preempt", "shrink", "grow", "hang", "slow", "neighbour", "pauses", "hot_key",
--- a/corallanding/quota/core.py
+++ b/corallanding/quota/core.py
@@ -34,9 +34,11 @@
     born: float
     chance: Callable[[], float]
     alone: int = 0  # wants that found no divider to go to
-    refused: int = 0  # words of nobody that we know
+    refused: int = 0  # words of nobody that we know, or too many
+    words_per_s: float = 200.0  # taken from one
 
     def __post_init__(self) -> None:
+        self.allowances = {n: (self.words_per_s, self.born) for n in self.others}
         self.ids = {b.id: b for b in self.budgets.values()}
         self.holder = Holder(self.life, self.terms, self.born)
         self.voter = Voter(self.terms, self.born, electorate(self.voters))
@@ -102,7 +104,13 @@
 
     def heard(self, now: float, sender: int, word: Words) -> list[Act]:
         """A word of a known steward."""
-        if sender not in self.others:
+        if sender not in self.allowances:
+            self.refused += 1
+            return []
+        allowance, at = self.allowances[sender]
+        allowance = min(self.words_per_s, allowance + (now - at) / 1000.0 * self.words_per_s)
+        self.allowances[sender] = (max(0.0, allowance - 1.0), now)
+        if allowance < 1.0:
             self.refused += 1
             return []
         match word:
--- a/corallanding/snapshot/module.py
+++ b/corallanding/snapshot/module.py
@@ -17,7 +17,7 @@
 
 # What the survey at the head of each turn works out anew, or what follows from the settings.
 DERIVED = frozenset(
-    {"set", "seed", "hosts", "slices", "ranks", "out", "pool", "spare", "shifted", "table", "tight", "turn"}
+    {"set", "seed", "hosts", "slices", "ranks", "out", "pool", "spare", "shifted", "table", "tight", "turn", "may"}
 )
 HOST = [f.name for f in dataclasses.fields(Host) if f.name not in ("entry", "marks")]
 SLICE = [f.name for f in dataclasses.fields(Slice) if f.name not in ("lines", "owner", "helpers", "want", "held")]
--- a/corallanding/steward/daemon.py
+++ b/corallanding/steward/daemon.py
@@ -27,6 +27,7 @@
 from ..telemetry import configure, log
 from ..upgrade.pipe import Pipe
 from . import engine as core
+from .budgets import Budgets, budgets_of
 from .handed import Handed
 from .handover import Given, Taker
 from .hosts import Hosts
@@ -66,7 +67,7 @@
     return {path: value}
 
 
-class Steward(Turning, Keeping, Joining, Hosts, Passing, Pages):
+class Steward(Turning, Keeping, Joining, Hosts, Passing, Pages, Budgets):
     """One steward. `start` raises `StoreFault` or `OSError` if it cannot run; `stopped` ends when it is over."""
 
     async def start(
@@ -136,6 +137,7 @@
             where = given.listening(*loopback(c.steward.peer_listen), socket.SOCK_DGRAM)
             me, dropped = c.steward.number, self.metrics.peer_drops.inc
             self.peers = Peers(me, c.steward.peer_listen, c.steward.peers, self.peer_said, dropped, where)
+        self.open_budgets()
         if c.load_reports:
             self.feed = self.make_feed(c.load_reports)
             self.feed.start(handed.feed if handed else None, given.pair())
@@ -200,6 +202,7 @@
             self.ending = asyncio.get_running_loop().create_task(self.keeper.stop())
         if self.writing:
             self.writing.cancel()
+        self.close_budgets()
         if self.peers:
             self.peers.close()
         for handle in (self.timer, self.pump_timer, self.admitting):
@@ -225,7 +228,9 @@
         old_keys, new_keys = flat(self.config.model_dump()), flat(new.model_dump())
         changed = [k for k in sorted(old_keys | new_keys) if old_keys.get(k) != new_keys.get(k)]
         # A block that comes or goes whole needs a restart, whatever its keys.
-        taken = [k for k in changed if k.startswith(RELOADABLE) and k in old_keys and k in new_keys]
+        # A budget may change its size alone: all else of it must be the same at all stewards at any instant.
+        sizes = [k for k in changed if k.startswith("budget.") and k.endswith(".whole")]
+        taken = [k for k in changed if (k.startswith(RELOADABLE) or k in sizes) and k in old_keys and k in new_keys]
         merged = self.config.model_dump()
         for key in taken:
             at, (*path, last) = merged, key.split(".")
@@ -246,6 +251,8 @@
         if d := self.config.door:
             self.door.connections, self.door.header_most = d.connections_most, d.header_most_bytes
             self.door.within = d.request_within_ms
+        if self.quota:
+            self.quota.retune(self.clock(), {name: b.whole for name, b in budgets_of(self.config).items()})
         log.info("reloaded", taken=taken, needs_restart=[k for k in changed if k not in taken])
 
 
--- a/corallanding/steward/hosts.py
+++ b/corallanding/steward/hosts.py
@@ -17,6 +17,7 @@
 from ..store import StoreFault
 from ..telemetry import log
 from .parts import ORIGIN, Parts
+from .peers import SHARED
 
 if TYPE_CHECKING:
     from ..registry.keeper import Keeper
@@ -139,5 +140,8 @@
         self.wake()
 
     def peer_said(self, sender: int, payload: bytes) -> None:
+        if payload[:1] == SHARED:
+            self.shared_said(sender, payload[1:])
+            return
         self.engine.event(self.clock(), api.PeerMessage(sender, payload))
         self.wake()
--- a/corallanding/steward/pages.py
+++ b/corallanding/steward/pages.py
@@ -18,6 +18,7 @@
         return problem(503, "; ".join(wrong)) if wrong else Answer(200, b"ok\n", "text/plain")
 
     def metrics_page(self) -> Answer:
+        self.budget_figures()
         if self.feed:
             for end, count in {**self.feed.counts, **vars(self.feed.worth.counts)}.items():
                 if end not in ("senders", "waiting"):
--- a/corallanding/steward/parts.py
+++ b/corallanding/steward/parts.py
@@ -18,7 +18,9 @@
 from ..channel import Limits as ChannelLimits
 from ..config import StewardConfig
 from ..config import settings as settings_of
+from ..membership import Members
 from ..probe.prober import Prober
+from ..quota import Quota
 from ..reports.feed import Feed
 from ..roster.source import Source
 from ..roster.view import View
@@ -128,6 +130,10 @@
         self.log_number = 0
         self.state_task: asyncio.Task[None] | None = None
         self.watched_at = self.spent = 0.0
+        self.members: Members | None = None
+        self.quota: Quota | None = None
+        self.share_timer: asyncio.TimerHandle | None = None
+        self.witness: int | None = None  # a descriptor
         self.listed = False  # a list newer than the saved one has come in this life
 
     # ---- what rooms ask of one another -------------------------------------------------------------------
@@ -180,6 +186,21 @@
     @abstractmethod
     def gone(self, link: LinkProtocol) -> None: ...
 
+    @abstractmethod
+    def may(self, kind: str, host: int, now: bool) -> bool: ...
+
+    @abstractmethod
+    def shared_said(self, sender: int, data: bytes) -> None: ...
+
+    @abstractmethod
+    def open_budgets(self) -> None: ...
+
+    @abstractmethod
+    def close_budgets(self) -> None: ...
+
+    @abstractmethod
+    def budget_figures(self) -> None: ...
+
     @abstractmethod
     def keep_roster(self) -> None: ...
 
--- a/corallanding/steward/peers.py
+++ b/corallanding/steward/peers.py
@@ -12,6 +12,7 @@
 
 AT_ONCE = 64  # datagrams read in one turn of the loop
 PAYLOAD = 256  # bytes
+SHARED = b"\xc1"  # before words on members and budgets; no msgpack begins so, and modules pass over it
 
 
 class Peers:
@@ -48,7 +49,7 @@
     def read(self) -> None:
         for _ in range(AT_ONCE):
             try:
-                data = self.sock.recv(2048)
+                data, origin = self.sock.recvfrom(2048)
             except BlockingIOError:
                 return
             except OSError:
@@ -58,7 +59,9 @@
             except msgspec.DecodeError:
                 self.dropped()
                 continue
-            if str(sender) not in self.peers or len(payload) > PAYLOAD:
+            # Its number alone would let any process of this machine speak as a steward.
+            known = self.peers.get(str(sender))
+            if known is None or origin[:2] != loopback(known) or len(payload) > PAYLOAD:
                 self.dropped()
                 continue
             self.heard(sender, payload)
--- a/corallanding/telemetry/metrics.py
+++ b/corallanding/telemetry/metrics.py
@@ -40,6 +40,12 @@
         self.dropped_sums = Gauge(p + "sums_dropped", "Rows of sums on unknown things", registry=r)
         self.discarded = Gauge(p + "orders_discarded", "Orders outside the charge", registry=r)
         self.peer_drops = Counter(p + "peer_messages_dropped", "Peer datagrams that were not taken", registry=r)
+        self.stewards = Gauge(p + "stewards_alive", "Stewards reckoned with, this one among them", registry=r)
+        self.divider = Gauge(p + "budget_divider", "Number of the steward that divides; -1: none is known", registry=r)
+        self.shared_refused = Gauge(p + "peer_words_refused", "Words of peers that cannot be", registry=r)
+        self.budget_held = Gauge(p + "budget_held", "Rights that are ours now, over all hosts", ["budget"], registry=r)
+        self.budget_used = Gauge(p + "budget_in_use", "Rights in use", ["budget"], registry=r)
+        self.budget_refused = Counter(p + "budget_refused", "Not done for want of a right", ["budget"], registry=r)
 
         self.reports = Gauge(p + "load_reports", "Load reports so far, by what became of them", ["end"], registry=r)
         self.report_senders = Gauge(p + "load_report_senders", "Senders that are kept a slot for", registry=r)
