Lab: relays under the stewards, eight faults between them, budgets.hcl with an audit of what was used

None is too few: seen in the log, every emptying was refused for 3 s of the hang, since a budget's span of 6 s makes a new divider learn for 7.8 s and the office changed twice before.

--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -21,7 +21,7 @@
 import numpy as np
 import uvloop
 
-from corallanding.lab.runner import free_port
+from corallanding.lab.processes import free_port
 from corallanding.wire import frames
 
 from .machine import machine
--- a/bench/handover.py
+++ b/bench/handover.py
@@ -22,7 +22,7 @@
 import numpy as np
 import uvloop
 
-from corallanding.lab.runner import free_port
+from corallanding.lab.processes import free_port
 
 from .fanout import LINES_A_FORWARDER, SIZES, Links, Raw, figures, split
 from .machine import machine
--- a/bench/load_reports.py
+++ b/bench/load_reports.py
@@ -26,8 +26,8 @@
 
 from corallanding import interface as api
 from corallanding.config import load_steward
+from corallanding.lab.processes import free_port
 from corallanding.lab.reporter import body
-from corallanding.lab.runner import free_port
 from corallanding.lab.scenario import Fault, load_scenario, scenario_hcl
 from corallanding.lab.trace import read
 from corallanding.reports.envelope import NO_ECHO, Head, pack
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -21,7 +21,7 @@
 import uvloop
 
 from corallanding.balance import Assigner
-from corallanding.lab.runner import free_port
+from corallanding.lab.processes import free_port
 from corallanding.snapshot import file
 from corallanding.snapshot.module import ModuleState, dump, load
 from corallanding.wire import frames
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -22,8 +22,8 @@
 import uvloop
 
 from corallanding.config.models import RegistryBlock
+from corallanding.lab.processes import free_port
 from corallanding.lab.registry import Registry
-from corallanding.lab.runner import free_port
 from corallanding.registry.connection import Lost
 from corallanding.registry.etcd import Etcd
 from corallanding.registry.source import make
--- a/bench/turns.py
+++ b/bench/turns.py
@@ -19,8 +19,8 @@
 import numpy as np
 import uvloop
 
+from corallanding.lab.processes import free_port
 from corallanding.lab.roster import Roster
-from corallanding.lab.runner import free_port
 from corallanding.lab.trace import Trace
 from corallanding.wire import frames
 
--- a/corallanding/lab/faults.py
+++ b/corallanding/lab/faults.py
@@ -10,6 +10,7 @@
 
 from .clients import Hot
 from .host import Host, release
+from .peers import PeerFaults
 from .reporter import Way
 from .scenario import Fault, Scenario
 from .trace import clock, wall
@@ -33,7 +34,7 @@
     return out
 
 
-class Faults:
+class Faults(PeerFaults):
     def __init__(self, lab: Lab) -> None:
         self.lab, self.witness = lab, lab.trace.witness("faults")
         self.draws: dict[int, int] = {}
--- a/corallanding/lab/fleet/emulate.py
+++ b/corallanding/lab/fleet/emulate.py
@@ -15,7 +15,7 @@
 
 from ... import interface as api
 from ...balance import Assigner
-from ...config import StewardConfig, load_steward
+from ...config import ConfigFault, StewardConfig, load_steward
 from ...steward.turns import Decider
 from ...telemetry import configure
 from .. import trace
@@ -66,6 +66,8 @@
     ) -> None:  # fmt: skip
         """recorded: a day in place of the scenario's hosts, arrivals and faults. out: a folder for the key of load
         reports, if there are any."""
+        if scenario.budget:
+            raise ConfigFault(f"{scenario.name}: budgets are played by processes: `lab run`, or `lab budgets`")
         self.loop, self.recorded = loop, recorded
         super().__init__(scenario, out, seed)
         self.base, self.decider, self.record = config or steward_of(scenario.model_dump_json()), decider, record
@@ -175,8 +177,8 @@
         self.machines[me].kill()
         return alive
 
-    async def freeze_steward(self, seconds: float) -> None:
-        if (machine := self.machines[0]).alive:
+    async def freeze_steward(self, seconds: float, me: int = 0) -> None:
+        if (machine := self.machines[me]).alive:
             machine.freeze(True)
             await asyncio.sleep(seconds)
             machine.freeze(False)
--- a/corallanding/lab/runner.py
+++ b/corallanding/lab/runner.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import json
 import os
 import signal
-import socket
 import sqlite3
 import sys
 import tempfile
@@ -24,67 +22,13 @@
 from .forwarder import Forwarder, Rules
 from .host import Host, HostSpec
 from .net import Net
+from .processes import Successor, free_port, get
 from .reporter import Reporter
 from .roster import RegistryRoster, Roster
 from .scenario import LoadReportsTraffic, Scenario, steward_hcl
 from .trace import Trace, clock, wall
-
-_ports = itertools.count()
-
-
-def free_port() -> int:
-    """From a block of this process's own, below the range from which the kernel draws: labs that run side by side got
-    each other's ports when they let go of one that the kernel had chosen, and bound it later."""
-    for _ in range(1_000):
-        port = 10_000 + os.getpid() % 700 * 30 + next(_ports) % 30
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError("no port is free")
-
-
-async def get(port: int, path: str) -> tuple[int, bytes]:
-    """One GET at the steward's door. Raises OSError if it is not there."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    try:
-        writer.write(f"GET {path} HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n".encode())
-        head = await reader.readuntil(b"\r\n\r\n")
-        return int(head.split()[1]), await reader.read()
-    finally:
-        writer.close()
-
-
-class Successor:
-    """A steward's process that is no child of this one."""
-
-    def __init__(self, pid: int) -> None:
-        self.pid = pid
-
-    @property
-    def returncode(self) -> int | None:
-        try:
-            state = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()[0]
-        except OSError:
-            return 0
-        return 0 if state in "ZX" else None
-
-    def send_signal(self, number: int) -> None:
-        if self.returncode is None:
-            os.kill(self.pid, number)
-
-    def terminate(self) -> None:
-        self.send_signal(signal.SIGTERM)
-
-    def kill(self) -> None:
-        self.send_signal(signal.SIGKILL)
-
-    async def wait(self) -> int:
-        while self.returncode is None:
-            await asyncio.sleep(0.01)
-        return 0
+from .uses import judged
+from .ways import Ways
 
 
 class Lab:
@@ -102,8 +46,10 @@
         self.upgrades: list[float] = []  # ms that each took
         self.lives = 0
         self.life: dict[int, int] = {}
-        self.ports = [self.new_port() for _ in range(scenario.stewards)]
-        self.doors = [self.new_port() for _ in range(scenario.stewards)]
+        self.ports = [self.new_port() for _ in range(scenario.numbers)]
+        self.doors = [self.new_port() for _ in range(scenario.numbers)]
+        self.peer_ports = [self.new_port() for _ in range(scenario.numbers)] if scenario.budget else []
+        self.ways: Ways | None = None
         self.polls: list[dict[str, float]] = []
         self.tasks: set[asyncio.Task[Any]] = set()
         self.begun, self.lost = 0.0, 0
@@ -206,12 +152,20 @@
         self.lives += 1
         self.upgrades.append(clock() - begun)
 
-    async def freeze_steward(self, seconds: float) -> None:
-        process = self.processes[0]
-        if process.returncode is None:
+    async def freeze_steward(self, seconds: float, me: int = 0) -> None:
+        process = self.processes.get(me)
+        if process is not None and process.returncode is None:
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(seconds)
-            process.send_signal(signal.SIGCONT)
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+
+    async def end_steward(self, me: int) -> None:
+        """SIGTERM: its slices go to others first."""
+        process = self.processes.get(me)
+        if process is not None and process.returncode is None:
+            process.terminate()
+            await process.wait()
 
     async def hold_store(self, seconds: float) -> None:
         db = sqlite3.connect(self.out / "store.db", isolation_level=None)
@@ -304,7 +258,8 @@
 
     def prepare(self) -> None:
         self.out.mkdir(parents=True, exist_ok=True)
-        for old in [*self.out.glob("store*.db*"), *self.out.glob("steward*.rec"), *self.out.glob("steward*.log")]:
+        for old in [*self.out.glob("store*.db*"), *self.out.glob("steward*.rec"), *self.out.glob("steward*.log"),
+                    *self.out.glob("uses*.jsonl")]:
             old.unlink()
 
     def configure(self, reports_key: str) -> None:
@@ -312,12 +267,17 @@
         s, reports = self.scenario, f"127.0.0.1:{self.reports_port}"
         if any(f.kind == "upgrade" for f in s.fault):
             self.control = str(Path(tempfile.mkdtemp(prefix="corallanding-")) / "control")
-        for me in range(s.stewards):
+        if self.peer_ports and s.stewards > 1:
+            self.ways = Ways(self.seed, dict(enumerate(self.peer_ports)))
+            self.ways.open()
+        for me in range(s.numbers):
             listen, door, roster = [f"127.0.0.1:{p}" for p in (self.ports[me], self.doors[me], self.roster.port)]
             store = str(self.named("store", me, ".db").resolve())
             text = steward_hcl(
-                s, listen, door, roster, store, self.seed, self.laxer, reports, reports_key, me, self.control
-            )
+                s, listen, door, roster, store, self.seed, self.laxer, reports, reports_key, me, self.control,
+                f"127.0.0.1:{self.peer_ports[me]}" if self.ways else "", self.ways.peers(me) if self.ways else None,
+                str(self.named("uses", me, ".jsonl").resolve()) if s.budget else "",
+            )  # fmt: skip
             self.named("steward", me, ".hcl").write_text(text)
 
     async def run(self) -> dict[str, Any]:
@@ -352,6 +312,8 @@
             if self.reporter:
                 self.reporter.stop()
             await self.end_stewards()
+            if self.ways:
+                self.ways.close()
             await self.roster.stop()
             for h in self.hosts.values():
                 h.kill()
@@ -388,7 +350,9 @@
     async def laid(self) -> dict[int, set[int]]:
         """Tables as the stewards have them. Raises OSError if one does not answer."""
         tables: dict[int, set[int]] = {}
-        for door in self.doors:
+        for me, door in enumerate(self.doors):
+            if me not in self.processes or self.processes[me].returncode is not None:
+                continue  # not there yet, or gone for good
             _, page = await get(door, "/tables")
             tables |= {int(t): {int(h) for h in row} for t, row in json.loads(page)["tables"].items()}
         return tables
@@ -427,6 +391,9 @@
         s, records = self.scenario, self.trace.records
         verdicts, doubled = judge(records, self.limits())
         result = report.summary(records, self.begun, self.seed, s.name, verdicts, doubled, list(s.operation))
+        if s.budget:
+            paths = [p for me in range(s.numbers) if (p := self.named("uses", me, ".jsonl")).exists()]
+            result["budgets"] = judged(paths, {name: b.whole for name, b in s.budget.items()})
         result["publisher"], result["lives"], result["lines_lost"] = s.publisher, self.lives, self.lost
         if s.load_reports and self.polls:
             result["load_reports"] = {k: v for k, v in self.polls[-1].items() if k not in ("t", "waiting", "ack_ms")}
--- a/corallanding/lab/scenario.py
+++ b/corallanding/lab/scenario.py
@@ -9,6 +9,7 @@
 from pydantic import Field, model_validator
 
 from ..config.blocks import Block, Count, Ms, MsOrNone, Ratio
+from ..config.budgets import BudgetBlock, BudgetsBlock
 from ..config.hcl import ConfigFault, load
 from ..config.models import (
     ChannelBlock,
@@ -20,12 +21,17 @@
     RulesBlock,
 )
 
+PEER_FAULTS = (
+    "peer_cut", "peer_loss", "peer_slow", "peer_repeat", "steward_stop", "steward_restart", "steward_grow",
+    "steward_shrink",
+)  # fmt: skip
 KINDS = (
     "crash", "deploy", "drain", "preempt", "shrink", "grow", "hang", "slow", "neighbour", "pauses", "hot_key",
     "heavy_tail", "counter_down", "zone_cut", "zone_loss", "one_sided", "slow_link", "answer_lost",
     "balancer_roll", "balancer_stall", "wrong_list", "give_up", "steward_kill", "roster_down", "store_down",
     "upgrade",
     "report_flood", "report_stale", "report_silent", "report_lying", "report_skew", "report_loss",
+    *PEER_FAULTS,
 )  # fmt: skip
 
 
@@ -119,8 +125,27 @@
     forwarders: ForwardersBlock = ForwardersBlock()
     probe: ProbeBlock = ProbeBlock()
     load_reports: LoadReportsTraffic | None = None
+    budget: dict[str, BudgetBlock] = {}
+    budgets: BudgetsBlock = BudgetsBlock()  # stewards_most: how many there may ever be
     fault: list[Fault] = []
 
+    @model_validator(mode="after")
+    def peered(self) -> Scenario:
+        if self.numbers < self.stewards:
+            raise ValueError("budgets.stewards_most is less than stewards")
+        for name, one in self.budget.items():
+            if fault := one.fault(name, self.numbers):
+                raise ValueError(fault)
+        for f in self.fault:
+            if f.kind in PEER_FAULTS and (self.stewards < 2 or not self.budget):
+                raise ValueError(f"fault {f.kind!r} needs stewards that know each other: several, and a budget")
+        return self
+
+    @property
+    def numbers(self) -> int:
+        """Stewards that there may be, those that `steward_grow` starts among them."""
+        return self.budgets.stewards_most or self.stewards
+
 
 def load_scenario(path: str | Path) -> Scenario:
     return load(path, Scenario)
@@ -138,7 +163,8 @@
 
 def steward_hcl(
     s: Scenario, listen: str, door: str, roster: str, store: str, seed: int, laxer: bool, reports: str = "",
-    key: str = "", me: int = 0, control: str = "",
+    key: str = "", me: int = 0, control: str = "", peer_listen: str = "", peers: dict[str, str] | None = None,
+    witness: str = "",
 ) -> str:  # fmt: skip
     """The configuration of the steward that serves this scenario. laxer: a sabotage may lift the channel's limits."""
     channel = s.channel.model_dump()
@@ -157,8 +183,8 @@
     warm = any(h.warm_gain > 0 for h in s.host.values())
     return (
         f"zones = {hcl_value(s.zones)}\n"
-        + block("steward", {"listen": listen, "seed": seed, "zone": s.zones[0], "number": me, "stewards": s.stewards,
-                            "control": control or None})
+        + block("steward", {"listen": listen, "seed": seed, "zone": s.zones[0], "number": me, "stewards": s.numbers,
+                            "control": control or None, "peer_listen": peer_listen or None, "peers": peers})
         + block("store", {"path": store})
         + (block("roster", {"address": roster, "mode": s.roster.mode}) if s.stewards == 1 else shared)
         + block("slices", {"count": s.fleet.slices, "warm_keys": warm})
@@ -170,6 +196,8 @@
         + block("probe", s.probe.model_dump())
         + block("door", {"listen": door})
         + loads
+        + "".join(block("budget", b.model_dump(), name) for name, b in s.budget.items())
+        + (block("budgets", {**s.budgets.model_dump(), "witness": witness or None}) if s.budget else "")
     )
 
 
@@ -184,6 +212,10 @@
     for kind, rows in (("host", s.host), ("operation", s.operation)):
         for label, row in rows.items():
             out += "\n" + block(kind, row.model_dump(), label)
+    if s.budget:
+        out += "\n" + block("budgets", s.budgets.model_dump())
+    for label, budget in s.budget.items():
+        out += "\n" + block("budget", budget.model_dump(), label)
     for f in s.fault:
         out += "\n" + block("fault", {k: v for k, v in f.model_dump().items() if k != "kind"}, f.kind)
     return out
--- a/corallanding/lab/stewards/world.py
+++ b/corallanding/lab/stewards/world.py
@@ -13,7 +13,7 @@
 from ...membership import Terms as MemberTerms
 from ...quota import Budget, Quota, Terms
 from ...quota.words import Words
-from .uses import Use
+from ..uses import Use
 
 TICK = 50.0  # ms
 Demand = Callable[[float, int], list[tuple[str, int]]]
--- a/corallanding/quota/core.py
+++ b/corallanding/quota/core.py
@@ -77,6 +77,9 @@
         rank = able.index(self.me) if self.me in able else len(able)
         out: list[Act] = []
         self.office(now)
+        for budget in self.budgets.values():
+            if budget.per == "fleet" and budget.pool > 0:
+                self.holder.account(now, budget, 0)
         if word := self.candidate.tick(now, rank):
             out += self.to_all(now, word)
         return out + self.ask(now)
--- a/corallanding/quota/holder.py
+++ b/corallanding/quota/holder.py
@@ -110,7 +110,9 @@
         if wanted >= a.peak or now - a.peak_at > self.terms.lease:
             a.peak, a.peak_at = wanted, now
         have = a.amount if now < a.until else 0
-        wanted = 0 if self.leaving else max(0, a.peak - floor)
+        # Of a budget of the fleet one is wanted always: what it is for seldom can wait for an answer.
+        least = 1 if a.budget.per == "fleet" else 0
+        wanted = 0 if self.leaving else max(least, a.peak - floor)
         # What was lent counts as in use as long as it could be: the divider may lend the rest anew once it hears this.
         return (*key, wanted, have, max(have, used - self.floor(now, a.budget), 0), a.round)
 
@@ -120,13 +122,14 @@
         for key, a in list(self.accounts.items()):
             used, missed = a.count(now, a.uses), a.count(now, a.missed)
             good = now < a.until and a.amount > 0
-            if not used and not missed and not good:
+            standing = a.budget.per == "fleet" and not self.leaving
+            if not used and not missed and not good and not standing:
                 if now - a.touched > self.terms.lease:
                     del self.accounts[key]
                 continue
             short = missed > 0 and (not good or used + missed > a.budget.floor + a.amount)
             wait = self.terms.lease / (16.0 if short else 6.0)
-            if (short or good or used > a.budget.floor) and now - a.asked_at >= wait:
+            if (short or good or standing or used > a.budget.floor) and now - a.asked_at >= wait:
                 due.append(key)
                 a.asked_at = now
         out = []
--- a/corallanding/steward/budgets.py
+++ b/corallanding/steward/budgets.py
@@ -120,8 +120,18 @@
             self.witnessed(kind, host)
             return True
         self.metrics.budget_refused.labels(kind).inc()
+        self.gate.warn("no right left", budget=kind, host=host)
         return False
 
+    def newly_listed(self, now: float) -> None:
+        """A cold host will be given slices within a turn or two: its rights are asked for before they are needed."""
+        q, cold = self.quota, self.settings.cold
+        if q is None or "cold_slices" not in q.budgets:
+            return
+        for e in self.view.entries.values():
+            if e.state == "up" and now - e.online_since < cold:
+                q.wish(now, "cold_slices", e.host)
+
     def witnessed(self, kind: str, host: int) -> None:
         if self.witness is not None and self.quota:
             span = self.quota.budgets[kind].span
--- a/corallanding/steward/hosts.py
+++ b/corallanding/steward/hosts.py
@@ -108,6 +108,7 @@
         if moved:
             self.engine.readdress(moved)
         self.listed = True
+        self.newly_listed(now)
         if self.feed:
             self.feed.listed(self.view.entries, self.view.starts, self.settings.cold)
             self.factors = self.feed.worth.factors()
--- a/corallanding/steward/parts.py
+++ b/corallanding/steward/parts.py
@@ -198,6 +198,9 @@
     @abstractmethod
     def close_budgets(self) -> None: ...
 
+    @abstractmethod
+    def newly_listed(self, now: float) -> None: ...
+
     @abstractmethod
     def budget_figures(self) -> None: ...
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -10,8 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from corallanding.lab.stewards.uses import most
 from corallanding.lab.stewards.world import Way, World, troubled
+from corallanding.lab.uses import most
 from corallanding.quota import Budget, Divider, Give, Holder, Quota, Stand, Terms, Vote, Want, decode, encode, share
 from corallanding.quota import divider as divider_module
 from corallanding.quota import vote as vote_module
@@ -161,6 +161,16 @@
     return d.over()
 
 
+def a_use_that_would_outlast_its_grant() -> float:
+    d = Desk()
+    d.holders[0].given(1.0, d.answer(0.0, 0, d.ask(0.0, 0)))
+    d.use(700.0, 0)
+    for now in range(820, 1_000, 20):
+        d.holders[1].given(now, d.answer(now, 1, d.ask(now, 1)))
+        d.use(now, 1)
+    return d.over()
+
+
 def an_older_answer_after_a_newer() -> float:
     d = Desk()
     late = d.answer(1.0, 0, d.ask(0.0, 0))
@@ -254,8 +264,8 @@
 
 
 SCENES = [
-    an_answer_that_comes_late, an_older_answer_after_a_newer, a_renewal_of_what_was_over,
-    a_grant_made_smaller_while_in_use, a_voter_that_starts_anew, votes_that_come_late, votes_behind_a_quit,
+    an_answer_that_comes_late, a_use_that_would_outlast_its_grant, an_older_answer_after_a_newer,
+    a_renewal_of_what_was_over, a_grant_made_smaller_while_in_use, a_voter_that_starts_anew, votes_that_come_late, votes_behind_a_quit,
 ]  # fmt: skip
 
 
