--- a/corallanding/steward/budgets.py
+++ b/corallanding/steward/budgets.py
@@ -79,7 +79,10 @@
             return
         now = self.clock()
         self.say_shared(self.members.tick(now))
+        before = self.quota.divider.since
         self.say_shared(self.quota.tick(now, self.members.alive()))
+        if self.quota.divider.since != before:
+            log.info("divides the budgets" if self.quota.divider.since else "divides no more")
 
     def shared_said(self, sender: int, data: bytes) -> None:
         if self.members is None or self.quota is None:
