A new divider divides what holders tell it of its predecessor's grants

A want names the divider's term by the last word in which that one said it holds the office. So what its rows say was so in that term, and nobody else can have been lent it since: a new divider may divide those rights anew at once, where before it only renewed them to each holder. Only what silent holders may have waits until their grants have ended.

lab budgets prints cost, recovery and division against static parts.

--- a/corallanding/lab/commands.py
+++ b/corallanding/lab/commands.py
@@ -98,3 +98,20 @@
 
 
 add(lab)
+
+
+@lab.command("budgets")
+def budgets(
+    seeds: Annotated[int, typer.Option("--seeds", min=1, max=1000)] = 20,
+    stewards: Annotated[str, typer.Option("--stewards", help="sizes of the fleet, joined by commas")] = "3,5,20",
+) -> None:
+    """Figures on budgets of a fleet of stewards, in simulated time: cost, and how soon rights serve again."""
+    from .stewards.figures import compared, table
+
+    try:
+        sizes = [int(n) for n in stewards.split(",")]
+        if min(sizes) < 2 or max(sizes) > 300:
+            raise ValueError(stewards)
+    except ValueError:
+        raise fail(f"--stewards {stewards!r}: sizes from 2 to 300, joined by commas") from None
+    print(table(seeds, sizes) + "\n\n" + compared(seeds, 5))
--- a/corallanding/lab/stewards/world.py
+++ b/corallanding/lab/stewards/world.py
@@ -11,8 +11,10 @@
 
 from ...membership import Changed, Members
 from ...membership import Terms as MemberTerms
+from ...membership import encode as encode_news
 from ...quota import Budget, Quota, Terms
 from ...quota.words import Words
+from ...quota.words import encode as encode_words
 from ..uses import Use
 
 TICK = 50.0  # ms
@@ -61,7 +63,9 @@
         self.usual = self.rest = Way()
         self.uses: list[Use] = []
         self.wanted = self.refused = 0
-        self.sent = self.bytes = 0
+        self.sent = 0
+        self.weigh = False  # whether words are counted by sender, and their bytes
+        self.by: dict[int, tuple[int, int]] = {}
         self.seen: list[tuple[float, int, int, int]] = []  # at, by whom, of whom, state
         for n in range(numbers if first is None else first):
             self.start(n)
@@ -139,6 +143,10 @@
 
     def send(self, a: int, b: int, word: Any) -> None:
         self.sent += 1
+        if self.weigh:
+            size = len(encode_words(word) if isinstance(word, Words) else encode_news(word)) + 6
+            words, total = self.by.get(a, (0, 0))
+            self.by[a] = (words + 1, total + size)
         way = self.ways.get((a, b), self.usual)
         if way.cut or self.chance.random() < way.loss:
             return
--- a/corallanding/quota/core.py
+++ b/corallanding/quota/core.py
@@ -43,7 +43,7 @@
         self.holder = Holder(self.life, self.terms, self.born)
         self.voter = Voter(self.terms, self.born, electorate(self.voters))
         self.candidate = Candidate(self.me, self.life, self.voters, self.terms, self.chance, self.born)
-        self.divider = Divider(self.terms, self.ids)
+        self.divider = Divider(self.terms, self.ids, self.life)
 
     # ---- what is asked in the instant of a use -------------------------------------------------------------
 
@@ -68,7 +68,7 @@
             self.divider.since = None
             return False
         if self.divider.since is None or self.divider.since < (self.candidate.since or now):
-            self.divider.begin(now)
+            self.divider.begin(now, self.candidate.round + 1)
         return True
 
     def tick(self, now: float, alive: Iterable[int]) -> list[Act]:
@@ -87,7 +87,7 @@
     def ask(self, now: float) -> list[Act]:
         out: list[Act] = []
         divider = self.candidate.holder
-        for want in self.holder.ask(now):
+        for want in self.holder.ask(now, *self.candidate.office):
             if divider is None:
                 self.alone += 1
             elif divider != self.me:
--- a/corallanding/quota/divider.py
+++ b/corallanding/quota/divider.py
@@ -1,7 +1,8 @@
 """The books of the steward that holds the office: what is lent to whom, and who gets how much. Pure.
 
-What is lent counts until it surely has ended, whatever became of its holder. A divider that is new to the office lends
-nothing new before all that its predecessor lent has ended; it renews, to each holder, what that one still has.
+What is lent counts until it surely has ended, whatever became of its holder. A divider that is new to the office
+divides what holders tell it, in its own term, that they have of its predecessor's grants: nobody else can have that.
+The rest of the whole it lends only once all that its predecessor lent has ended.
 """
 
 from __future__ import annotations
@@ -36,20 +37,28 @@
 
     terms: Terms
     budgets: Mapping[int, Budget]
+    life: int = 0  # of this process, and the round of its first word in the present office
+    first: int = 0
     since: float | None = None
     books: dict[Key, dict[tuple[int, int], Life]] = field(default_factory=dict)  # (steward, life)
+    known: dict[Key, int] = field(default_factory=dict)  # of a predecessor's grants, by what holders said
+    late: int = 0  # wants that were meant for a former office
     strangers: int = 0  # rows of budgets that are not ours, or that differ
     refused: int = 0  # rows beyond the bounds
 
-    def begin(self, now: float) -> None:
-        """The office is new, or was lost for a moment: another may have lent since."""
-        self.since, self.books = now, {}
+    def begin(self, now: float, first: int = 0) -> None:
+        """The office is new, or was lost for a moment: another may have lent since. first: the round of the first word
+        in which we can say that we hold it."""
+        self.since, self.first, self.books, self.known = now, first, {}, {}
 
     def lent(self, now: float, key: Key) -> int:
         return sum(life.out(now) for life in self.books.get(key, {}).values())
 
     def asked(self, now: float, sender: int, word: Want) -> Give:
         """now: an instant at which the office was held."""
+        if word.to != self.life or word.office < self.first:
+            self.late += 1
+            return Give(word.life, word.round, [])
         rows = [given for row in word.rows[:64] if (given := self.row(now, sender, word, row))]
         return Give(word.life, word.round, rows)
 
@@ -73,21 +82,21 @@
             if sum(k[0] == sender for k in book) >= LIVES_MOST:
                 self.refused += 1
                 return None
-        mine = book.setdefault(me, Life())
-        if word.round <= mine.round:
-            return None  # late or repeated: it was answered, and says what is no longer so
         assert self.since is not None
         good, pool = self.terms.theirs(self.terms.good(budget)), max(0, budget.pool)
         learning = now < self.since + good
+        if me not in book and learning:
+            self.known[key] = min(pool, self.known.get(key, 0) + have)
+        mine = book.setdefault(me, Life())
+        if word.round <= mine.round:
+            return None  # late or repeated: it was answered, and says what is no longer so
         mine.round, mine.at, mine.wanted = word.round, now, min(wanted, pool)
         self.settle(now, mine, taken, min(held, pool), now + good if learning else None)
-        if learning:
-            amount = min(have, pool)
-        else:
-            others = sum(life.out(now) for who, life in book.items() if who != me)
-            amount = max(0, min(self.part(now, key, budget, sender), pool - others))
+        pool = min(pool, self.known.get(key, 0)) if learning else pool
+        others = sum(life.out(now) for who, life in book.items() if who != me)
+        amount = max(0, min(self.part(now, key, pool, sender), pool - others))
         mine.entries.append((word.round, amount, now + good))
-        return number, subject, amount, learning
+        return number, subject, amount
 
     def settle(self, now: float, life: Life, taken: int, held: int, learning: float | None) -> None:
         """It has taken up the answer to its round `taken`, will take up none before that any more, and has no more
@@ -101,14 +110,14 @@
         elif over and held:
             life.entries.append((taken, min(held, max(amount for _, amount, _ in over)), ends))
 
-    def part(self, now: float, key: Key, budget: Budget, sender: int) -> int:
+    def part(self, now: float, key: Key, pool: int, sender: int) -> int:
         """The max-min fair part, and of what nobody wants an even part, one kept in hand for the next to come."""
         wants: dict[int, int] = {}
         for (steward, _), life in self.books[key].items():
             if now - life.at <= self.terms.lease:
                 wants[steward] = max(wants.get(steward, 0), life.wanted)
-        parts = share(budget.pool, wants, key[1] % max(1, len(wants)))
-        spare = max(0, budget.pool - sum(parts.values()))
+        parts = share(pool, wants, key[1] % max(1, len(wants)))
+        spare = max(0, pool - sum(parts.values()))
         return parts[sender] + (spare // (len(wants) + 1) if wants[sender] else 0)
 
     def drop(self, now: float, book: dict[tuple[int, int], Life]) -> None:
--- a/corallanding/quota/holder.py
+++ b/corallanding/quota/holder.py
@@ -116,8 +116,9 @@
         # What was lent counts as in use as long as it could be: the divider may lend the rest anew once it hears this.
         return (*key, wanted, have, max(have, used - self.floor(now, a.budget), 0), a.round)
 
-    def ask(self, now: float) -> list[Want]:
-        """Words for the divider: accounts whose grant wants renewal, or whose wish it does not meet."""
+    def ask(self, now: float, to: int = 0, office: int = 0) -> list[Want]:
+        """Words for the divider: accounts whose grant wants renewal, or whose wish it does not meet. to, office: as
+        in `Want`."""
         due: list[Key] = []
         for key, a in list(self.accounts.items()):
             used, missed = a.count(now, a.uses), a.count(now, a.missed)
@@ -139,7 +140,7 @@
             keys = due[k : k + self.terms.rows_most]
             self.round += 1
             self.wants[self.round] = (now, set(keys))
-            out.append(Want(self.life, self.round, [self.row(now, key) for key in keys]))
+            out.append(Want(self.life, self.round, to, office, [self.row(now, key) for key in keys]))
         return out
 
     def given(self, now: float, word: Give) -> bool:
@@ -150,14 +151,11 @@
             return False
         smaller = False
         at, keys = asked
-        for budget, subject, amount, renews in word.rows:
+        for budget, subject, amount in word.rows:
             a = self.accounts.get((budget, subject))
             if a is None or (budget, subject) not in keys or word.round <= a.round:
                 self.stale += 1
                 continue
-            if renews and (now >= a.until or amount > a.amount):
-                self.stale += 1  # what it would renew is over: its rights may be another's by now
-                continue
             if self.leaving and amount > a.amount:
                 continue
             if amount < a.amount and now < a.until:
--- a/corallanding/quota/vote.py
+++ b/corallanding/quota/vote.py
@@ -77,6 +77,7 @@
     standing: float | None = None  # since when it stands without the office
     heard_at: float = 0.0  # when another was last heard to hold it
     holder: int | None = None  # who that was, or ourselves
+    office: tuple[int, int] = (0, 0)  # its life, and the round in which it said so
     next_at: float = 0.0
     back_off: float = 0.0
 
@@ -98,6 +99,7 @@
             self.since = None
         elif self.since is None:
             self.since, self.standing, self.holder = now, None, self.me
+            self.office, self.next_at = (self.life, self.round + 1), now  # said at once
         return held
 
     def voted(self, now: float, voter: int, word: Vote) -> None:
@@ -112,6 +114,8 @@
     def said(self, now: float, sender: int, word: Stand) -> None:
         """Another stands, or holds the office."""
         if word.holds:
+            if self.office[0] != word.life or self.office[1] < word.round:
+                self.office = (word.life, word.round)
             self.heard_at, self.holder = now, sender
 
     def tick(self, now: float, rank: int) -> Stand | Quit | None:
--- a/corallanding/quota/words.py
+++ b/corallanding/quota/words.py
@@ -6,7 +6,7 @@
 
 # budget, subject, wanted, what a good grant holds, the most that may be in use, round of the grant that was taken up
 Row = tuple[int, int, int, int, int, int]
-Given = tuple[int, int, int, bool]  # budget, subject, amount, whether it only renews
+Given = tuple[int, int, int]  # budget, subject, amount
 
 
 class Word(msgspec.Struct, frozen=True, array_like=True, tag_field="t"):
@@ -34,6 +34,11 @@
 
 
 class Want(Word, frozen=True, array_like=True, tag=14):
+    """to, office: life and round of the last word by which that divider said that it holds the office. So it knows that
+    what a row says was so in its own term, and that no former divider can have lent it to another since."""
+
+    to: int = 0
+    office: int = 0
     rows: list[Row] = []
 
 
