--- a/corallanding/lab/stewards/figures.py
+++ b/corallanding/lab/stewards/figures.py
@@ -79,7 +79,7 @@
     """One that dies, the divider that dies, a split, a newcomer; each in a world of its own that has settled."""
     out = []
     for what in ("a fifth dies", "the divider dies", "two halves", "one comes"):
-        own = {"moves": Budget("moves", max(WHOLE, stewards), 0, stewards + 1, SPAN)}
+        own = {"moves": Budget("moves", max(WHOLE, 3 * stewards), 0, stewards + 1, SPAN)}
         w = World(seed, stewards + 1, min(stewards, 5), own, Terms(), greedy, first=stewards)
         w.run(15_000.0)
         divider = next((n for n, p in w.processes.items() if p.quota.office(p.clock(w.now))), 0)
