--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -27,6 +27,7 @@
 WORSE = 2.0  # and so many times the fleet's median: trouble that all share is not a server's
 JAMMED = 1.5  # strain above which a server answers next to nothing
 SLOW = 8.0  # times the fleet's median probe: a jammed server whose probe takes longer is slow by itself
+CHANCE = 4.0  # tries: each of several stewards hears but some, and in a calm fleet few of them are chance
 SHED = 1.5  # times its fair part: a server with more passes slices on before it is strained
 RUN = 4  # tries in a row without an answer that make a server suspect
 SILENT = 2.0  # windows of sums without any answer after which a suspect is failing
@@ -611,7 +612,9 @@
         self.spread()
         serves: dict[Host, dict[Slice, None]] = {}  # at least the slices of each, once one is to shed
         for h in [h for h in self.pool if self.now - h.shed_at > self.wait]:
-            strain, used = h.stress, self.used(h)
+            few = CHANCE if self.set.stewards > 1 and self.median < CROWDED / 2 else 0.0
+            tries, used = h.good + h.bad, self.used(h)
+            strain = h.stress * tries / (tries + few) if tries else 0.0
             over = used if used > SHED and strain > CROWDED / 2 else 1.0
             goal = h.load * min(1.0, 1.0 / over, self.strained / max(strain, 0.01))
             if goal == h.load:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -403,3 +403,21 @@
         rig.lines = [line for line in rig.lines if line.startswith("#") or "slice=0," in line]
         rig.say(f"after two seconds of it: {shown}")
         rig.check(f"great_demand_{stewards}")
+
+
+def test_few_tries_are_no_crowd_where_each_of_several_stewards_hears_but_some() -> None:
+    hosts = [up(h) for h in (11, 12, 13, 14)]
+    left = {}
+    for stewards, tries in ((1, 2), (2, 2), (2, 40)):
+        rig = Rig(stewards=stewards, slices=8 * stewards)
+        rig.start(hosts, {s: 11 + s % 3 for s in range(8)})
+        rig.run(3, all_well)
+        rig.lines = []
+        rig.say(f"{stewards} stewards: every other try at 11 fails, of {tries} a second")
+        bad = tries // 2
+        rig.run(4.1, lambda t=tries, bad=bad: sums({11: t - bad, 12: 20, 13: 20, 14: 20}, {11: bad}))  # type: ignore[misc]
+        left[stewards, tries] = sum(s.owner is not rig.assigner.hosts[11] for s in rig.assigner.slices.values())
+        rig.lines = [line for line in rig.lines if line.startswith("#") or "SetLine" in line]
+        rig.say(f"slices that 11 does not own: {left[stewards, tries]} of 8")
+        rig.check(f"few_tries_{stewards}_{tries}")
+    assert left[1, 2] > left[2, 2] == 5 and left[2, 40] > 5, left
