The lab's circle of runner, faults and reporter is gone

Stage says what a running lab shows to those that act on it; processes and ports stand in a room of their own.

--- a/corallanding/lab/faults.py
+++ b/corallanding/lab/faults.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 import numpy as np
 
@@ -13,11 +12,9 @@
 from .peers import PeerFaults
 from .reporter import Way
 from .scenario import Fault, Scenario
+from .stage import Stage
 from .trace import clock, wall
 
-if TYPE_CHECKING:
-    from .runner import Lab
-
 
 def hots(s: Scenario, slices: list[int]) -> list[Hot]:
     """Faults that are drawn into the arrivals. slices: numbers in an order drawn by the run's seed."""
@@ -35,7 +32,7 @@
 
 
 class Faults(PeerFaults):
-    def __init__(self, lab: Lab) -> None:
+    def __init__(self, lab: Stage) -> None:
         self.lab, self.witness = lab, lab.trace.witness("faults")
         self.draws: dict[int, int] = {}
 
@@ -298,13 +295,13 @@
     async def reporting(self, f: Fault, **how: object) -> None:
         """Hosts report in another way for a while."""
         struck = [h.number for h in self.some(f)]
-        if self.lab.reporter is None:
+        if self.lab.reports is None:
             return
         for n in struck:
-            self.lab.reporter.ways[n] = Way(**how)  # type: ignore[arg-type]
+            self.lab.reports.ways[n] = Way(**how)  # type: ignore[arg-type]
         await self.wait(f)
         for n in struck:
-            self.lab.reporter.ways.pop(n, None)
+            self.lab.reports.ways.pop(n, None)
 
     async def report_silent(self, f: Fault) -> None:
         await self.reporting(f, silent=True)
@@ -326,8 +323,8 @@
 
     async def report_flood(self, f: Fault) -> None:
         """`size` times the usual volume of reports, from a process of its own, by the struck hosts and by strangers."""
-        if self.lab.reporter:
-            await self.lab.reporter.flood([h.number for h in self.some(f)], f.size, f.for_s)
+        if self.lab.reports:
+            await self.lab.reports.flood([h.number for h in self.some(f)], f.size, f.for_s)
 
     # ---- in the arrivals -------------------------------------------------------------------------------
 
--- a/corallanding/lab/peers.py
+++ b/corallanding/lab/peers.py
@@ -3,21 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 import numpy as np
 
 from .scenario import Fault
+from .stage import Stage
 from .ways import Trouble
 
-if TYPE_CHECKING:
-    from .runner import Lab
-
 
 class PeerFaults:
     """`on` names stewards; without it a part of them, drawn by the run's seed."""
 
-    lab: Lab
+    lab: Stage
 
     def stewards(self, f: Fault) -> list[int]:
         numbers = [n for n in range(self.lab.scenario.numbers)]
@@ -69,7 +66,7 @@
 
     async def steward_grow(self, f: Fault) -> None:
         """Stewards that are not there come, one after the other over `for_s`."""
-        new = [n for n in self.stewards(f) if n not in self.lab.processes]
+        new = [n for n in self.stewards(f) if n not in self.lab.running]
         for n in new:
             await self.lab.start_steward(n)
             await asyncio.sleep(f.for_s / len(new))
--- a/corallanding/lab/reporter.py
+++ b/corallanding/lab/reporter.py
@@ -20,8 +20,8 @@
 from .trace import clock, wall
 
 if TYPE_CHECKING:
-    from .runner import Lab
     from .scenario import LoadReportsTraffic
+    from .stage import Stage
 
 
 @dataclass(frozen=True)
@@ -64,7 +64,7 @@
 
 
 class Reporter:
-    def __init__(self, lab: Lab, conf: LoadReportsTraffic, port: int, key: bytes) -> None:
+    def __init__(self, lab: Stage, conf: LoadReportsTraffic, port: int, key: bytes) -> None:
         self.lab, self.conf, self.where, self.key = lab, conf, ("127.0.0.1", port), key or None
         self.ways: dict[int, Way] = {}
         self.sockets: dict[int, Socket] = {}
--- a/corallanding/lab/runner.py
+++ b/corallanding/lab/runner.py
@@ -9,6 +9,7 @@
 import sqlite3
 import sys
 import tempfile
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -26,12 +27,13 @@
 from .reporter import Reporter
 from .roster import RegistryRoster, Roster
 from .scenario import LoadReportsTraffic, Scenario, steward_hcl
+from .stage import Stage
 from .trace import Trace, clock, wall
 from .uses import judged
 from .ways import Ways
 
 
-class Lab:
+class Lab(Stage):
     def __init__(self, scenario: Scenario, out: Path, seed: int, laxer: bool = False) -> None:
         self.scenario, self.out, self.seed, self.laxer = scenario, out, seed, laxer
         self.trace = Trace()
@@ -59,6 +61,14 @@
     def new_port(self) -> int:
         return free_port()
 
+    @property
+    def reports(self) -> Reporter | None:
+        return self.reporter
+
+    @property
+    def running(self) -> Mapping[int, asyncio.subprocess.Process | Successor]:
+        return self.processes
+
     # ---- hosts and what the list hears of them ----------------------------------------------------------
 
     def spec(self, kind: int) -> HostSpec:
