One allowance for what a peer may say, where two were written and one was wrong

Both use allowance.Allowance now; 2,100 are taken.

Beside it, same behaviour: retune by dataclasses.replace, the living put into one set a tick instead of one a voter, an alias and a field that nobody read are gone. joins, listen, gather and reports.triage keep theirs: other bounds, and state that goes over in an upgrade.

--- /dev/null
+++ b/corallanding/allowance.py
@@ -0,0 +1,25 @@
+"""How much one sender may say: a rate, and at most a second of it at once. Pure; times in ms."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass
+class Allowance:
+    """rate: a second. left: what it may say now, as of `at`.
+
+    What is refused costs nothing, so that one that says too much still gets its rate through.
+    """
+
+    rate: float
+    left: float
+    at: float
+
+    def take(self, now: float) -> bool:
+        self.left = min(self.rate, self.left + (now - self.at) / 1000.0 * self.rate)
+        self.at = now
+        if self.left < 1.0:
+            return False
+        self.left -= 1.0
+        return True
--- a/corallanding/membership/core.py
+++ b/corallanding/membership/core.py
@@ -10,12 +10,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from ..allowance import Allowance
 from .words import NEWS_MOST, Ack, Ask, News, Ping
 
 UNKNOWN, ALIVE, SUSPECT, DEAD, LEFT = range(5)
 INCARNATIONS = 1 << 32  # above this a claim is nonsense: nobody refutes four thousand million times
-
-
 SUSPECTS_AT_ONCE = 4  # told in one tick: of a fleet that is cut in two, half are suspects
 
 
@@ -51,14 +50,12 @@
 
 @dataclass
 class Member:
+    may: Allowance  # words that it may still send
     state: int = UNKNOWN
     incarnation: int = 0
-    since: float = 0.0  # of the state
     life: int = 0  # as it said itself
     deadline: float = math.inf  # of a suspicion
     nudged: float = 0.0  # when a suspect was last told that it is one
-    allowance: float = 0.0  # words that it may still send
-    allowed_at: float = 0.0
 
 
 @dataclass
@@ -94,7 +91,7 @@
     ticked: float = 0.0
 
     def __post_init__(self) -> None:
-        self.table = {n: Member(since=self.born, allowed_at=self.born, allowance=10.0) for n in self.others}
+        self.table = {n: Member(Allowance(self.terms.words_per_s, 10.0, self.born)) for n in self.others}
         self.table.pop(self.me, None)
         self.next_at = self.ticked = self.born
         self.rumours[self.me] = self.times
@@ -120,13 +117,9 @@
         if peer is None or not 0 < word.incarnation < INCARNATIONS:
             self.refused += 1
             return []
-        rate = self.terms.words_per_s
-        peer.allowance = min(rate, peer.allowance + (now - peer.allowed_at) / 1000.0 * rate)
-        peer.allowed_at = now
-        if peer.allowance < 1.0:
+        if not peer.may.take(now):
             self.refused += 1
             return []
-        peer.allowance -= 1.0
         out: list[Action] = []
         fresh = peer.life != word.life
         peer.life = word.life
@@ -187,7 +180,7 @@
         self.rumours[number] = self.times
         if not changed:
             return []
-        m.state, m.since = state, now
+        m.state = state
         m.deadline = now + self.suspicion() if state == SUSPECT else math.inf
         return [Changed(number, state)]
 
--- a/corallanding/quota/__init__.py
+++ b/corallanding/quota/__init__.py
@@ -1,6 +1,6 @@
 """Budgets of the whole fleet of stewards, divided among them by demand. Pure. See docs/budgets.md."""
 
-from .core import Act, Quota, Send
+from .core import Quota, Send
 from .divider import Divider
 from .division import share
 from .holder import Holder
@@ -9,6 +9,6 @@
 from .words import Give, Quit, Stand, Vote, Want, Words, decode, encode
 
 __all__ = [
-    "Act", "Budget", "Candidate", "Divider", "Give", "Holder", "Quit", "Quota", "Send", "Stand", "Terms", "Vote",
+    "Budget", "Candidate", "Divider", "Give", "Holder", "Quit", "Quota", "Send", "Stand", "Terms", "Vote",
     "Voter", "Want", "Words", "decode", "encode", "share",
 ]  # fmt: skip
--- a/corallanding/quota/core.py
+++ b/corallanding/quota/core.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from ..allowance import Allowance
 from .divider import Divider
 from .holder import Holder
 from .terms import Budget, Terms
@@ -18,9 +19,6 @@
     word: Words
 
 
-Act = Send
-
-
 @dataclass
 class Quota:
     """me, others, voters: numbers. life: drawn at the start. budgets: as configured. All times in ms by one clock."""
@@ -38,7 +36,7 @@
     words_per_s: float = 200.0  # taken from one
 
     def __post_init__(self) -> None:
-        self.allowances = {n: (self.words_per_s, self.born) for n in self.others}
+        self.allowances = {n: Allowance(self.words_per_s, self.words_per_s, self.born) for n in self.others}
         self.ids = {b.id: b for b in self.budgets.values()}
         self.holder = Holder(self.life, self.terms, self.born)
         self.voter = Voter(self.terms, self.born, electorate(self.voters))
@@ -71,11 +69,12 @@
             self.divider.begin(now, self.candidate.round + 1)
         return True
 
-    def tick(self, now: float, alive: Iterable[int]) -> list[Act]:
+    def tick(self, now: float, alive: Iterable[int]) -> list[Send]:
         """Call every 50 ms or so. alive: the stewards reckoned with, by the membership."""
-        able = [v for v in self.voters if v == self.me or v in set(alive)]
+        known = {self.me, *alive}
+        able = [v for v in self.voters if v in known]
         rank = able.index(self.me) if self.me in able else len(able)
-        out: list[Act] = []
+        out: list[Send] = []
         self.office(now)
         for budget in self.budgets.values():
             if budget.per == "fleet" and budget.pool > 0:
@@ -84,8 +83,8 @@
             out += self.to_all(now, word)
         return out + self.ask(now)
 
-    def ask(self, now: float) -> list[Act]:
-        out: list[Act] = []
+    def ask(self, now: float) -> list[Send]:
+        out: list[Send] = []
         divider = self.candidate.holder
         for want in self.holder.ask(now, *self.candidate.office):
             if divider is None:
@@ -96,7 +95,7 @@
                 self.holder.given(now, self.divider.asked(now, self.me, want))
         return out
 
-    def to_all(self, now: float, word: Stand | Quit) -> list[Act]:
+    def to_all(self, now: float, word: Stand | Quit) -> list[Send]:
         if self.me in self.voters:
             if isinstance(word, Stand):
                 self.candidate.voted(now, self.me, self.voter.asked(now, self.me, word))
@@ -105,15 +104,10 @@
                 self.voter.quit(self.me, word)
         return [Send(n, word) for n in self.others]
 
-    def heard(self, now: float, sender: int, word: Words) -> list[Act]:
+    def heard(self, now: float, sender: int, word: Words) -> list[Send]:
         """A word of a known steward."""
-        if sender not in self.allowances:
-            self.refused += 1
-            return []
-        allowance, at = self.allowances[sender]
-        allowance = min(self.words_per_s, allowance + (now - at) / 1000.0 * self.words_per_s)
-        self.allowances[sender] = (max(0.0, allowance - 1.0), now)
-        if allowance < 1.0:
+        may = self.allowances.get(sender)
+        if may is None or not may.take(now):
             self.refused += 1
             return []
         match word:
@@ -137,11 +131,10 @@
     def retune(self, now: float, wholes: dict[str, int]) -> None:
         """New sizes by a reload. What was lent beyond a smaller one runs out with its grants, and is not renewed."""
         for name, whole in wholes.items():
-            old = self.budgets[name]
-            new = Budget(old.name, whole, old.floor, old.most, old.span, old.per)
+            new = replace(self.budgets[name], whole=whole)
             self.budgets[name] = self.ids[new.id] = new
 
-    def leave(self, now: float) -> list[Act]:
+    def leave(self, now: float) -> list[Send]:
         """A planned end: nothing more is asked for, the office is given back."""
         self.holder.leaving = True
         for a in self.holder.accounts.values():
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -89,6 +89,15 @@
         Budget("moves", 7, 2, 5)
 
 
+def test_one_that_says_too_much_gets_its_rate_through_and_no_more() -> None:
+    q = Quota(0, (1,), (0, 1), {}, TIGHT, 1, 0.0, random.Random(1).random, words_per_s=100.0)
+    for k in range(4_000):  # twice the rate for twenty seconds, and the first second's worth at once
+        q.heard(5.0 * k, 1, Give(1, k))
+    assert abs(q.refused - (4_000 - 20 * 100 - 100)) <= 2
+    q.heard(20_000.0, 7, Give(1, 1))
+    assert abs(q.refused - 1_901) <= 2, "a number that nobody has"
+
+
 def test_a_whole_made_smaller_than_what_is_in_use_is_kept_once_that_has_ended() -> None:
     w = World(3, 3, 3, {"moves": Budget("moves", 9, 0, 3, 300.0)}, TIGHT, lambda t, n: [("moves", 0)] * 3)
     w.run(5_000.0)
