Peers' addresses are read once, not at every datagram

Each datagram that came or went had its peer's address parsed anew by ipaddress, and a word to one steward walked all of them: at 200 stewards 200 comparisons a word. With words of members and budgets that is a hot path.

--- a/corallanding/steward/peers.py
+++ b/corallanding/steward/peers.py
@@ -26,7 +26,8 @@
         self, me: int, listen: str, peers: Mapping[str, str], heard: Callable[[int, bytes], None],
         dropped: Callable[[], None], given: socket.socket | None = None,
     ) -> None:  # fmt: skip
-        self.me, self.peers, self.heard, self.dropped = me, peers, heard, dropped
+        self.me, self.heard, self.dropped = me, heard, dropped
+        self.at = {number: loopback(address) for number, address in peers.items()}
         host, port = loopback(listen)
         if given is None:
             given = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_DGRAM)
@@ -60,8 +61,7 @@
                 self.dropped()
                 continue
             # Its number alone would let any process of this machine speak as a steward.
-            known = self.peers.get(str(sender))
-            if known is None or origin[:2] != loopback(known) or len(payload) > PAYLOAD:
+            if origin[:2] != self.at.get(str(sender)) or len(payload) > PAYLOAD:
                 self.dropped()
                 continue
             self.heard(sender, payload)
@@ -69,10 +69,10 @@
     def say(self, peer: int | None, payload: bytes) -> None:
         """To one, or to all. What the socket does not take is lost, as datagrams may be."""
         data = msgspec.msgpack.encode([self.me, payload])
-        for number, address in self.peers.items():
-            if peer is None or str(peer) == number:
+        for number in self.at if peer is None else [str(peer)]:
+            if to := self.at.get(number):
                 try:
-                    self.sock.sendto(data, loopback(address))
+                    self.sock.sendto(data, to)
                 except OSError:
                     self.dropped()
 
