Faults draw whom they strike in one place; counters that nobody read are gone

PeerFaults.stewards and Faults.forwarders were the same choice written twice, with a draw of their own each; both are Drawn.numbers now. The relays' counters, Divider.lent and WELL were read by nobody.

--- a/corallanding/balance.py
+++ b/corallanding/balance.py
@@ -183,7 +183,7 @@
         return self.out
 
     def ahead(self, marks: int) -> bool:
-        """Mark ahead of need, while nothing else is to be done: false once nothing is left."""
+        """Mark ahead of need, while nothing else is to be done: false once nothing is left. Decides nothing."""
         return self.ranks.warm(self.slices, marks)
 
     def host(self, id: int) -> Host:
--- a/corallanding/lab/faults.py
+++ b/corallanding/lab/faults.py
@@ -5,8 +5,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import numpy as np
-
 from .clients import Hot
 from .host import Host, release
 from .peers import PeerFaults
@@ -36,13 +34,6 @@
         self.lab, self.witness = lab, lab.trace.witness("faults")
         self.draws: dict[int, int] = {}
 
-    def order(self, f: Fault, count: int) -> list[int]:
-        """An order drawn by the run's seed, the fault's place and how often it drew: what other faults draw, and what
-        the fleet is like by then, changes nothing for two runs that are compared."""
-        place = next(k for k, x in enumerate(self.lab.scenario.fault) if x is f)
-        drawn = self.draws[place] = self.draws.get(place, 0) + 1
-        return [int(k) for k in np.random.default_rng([self.lab.seed, 2, place, drawn]).permutation(count)]
-
     def some(self, f: Fault, share: float | None = None) -> list[Host]:
         """The hosts that a fault strikes: named, or a share of those up, drawn by the run's seed."""
         up = [h for h in self.lab.hosts.values() if h.up and not h.draining]
@@ -52,10 +43,7 @@
         return [up[i] for i in self.order(f, len(up))[:count]]
 
     def forwarders(self, f: Fault) -> list[int]:
-        n = len(self.lab.forwarders)
-        if f.on:
-            return [k for k in f.on if k < n]
-        return self.order(f, n)[: max(1, round(n * f.part))]
+        return self.numbers(f, len(self.lab.forwarders))
 
     def zone(self, f: Fault) -> int:
         zones = len(self.lab.scenario.zones)
--- a/corallanding/lab/peers.py
+++ b/corallanding/lab/peers.py
@@ -4,25 +4,16 @@
 
 import asyncio
 
-import numpy as np
-
+from .drawn import Drawn
 from .scenario import Fault
-from .stage import Stage
 from .ways import Trouble
 
 
-class PeerFaults:
+class PeerFaults(Drawn):
     """`on` names stewards; without it a part of them, drawn by the run's seed."""
 
-    lab: Stage
-
     def stewards(self, f: Fault) -> list[int]:
-        numbers = [n for n in range(self.lab.scenario.numbers)]
-        if f.on:
-            return [n for n in f.on if n in numbers]
-        place = next(k for k, x in enumerate(self.lab.scenario.fault) if x is f)
-        order = np.random.default_rng([self.lab.seed, 3, place]).permutation(len(numbers))
-        return [numbers[k] for k in order[: max(1, round(len(numbers) * f.part))]]
+        return self.numbers(f, self.lab.scenario.numbers)
 
     async def ail(self, f: Fault, trouble: Trouble, pairs: list[tuple[int, int]]) -> None:
         ways = self.lab.ways
--- a/corallanding/lab/ways.py
+++ b/corallanding/lab/ways.py
@@ -9,8 +9,8 @@
 import asyncio
 import random
 import socket
-from collections import Counter
 from collections.abc import Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 
 HELD_MOST = 10_000  # datagrams on their way
@@ -26,9 +26,6 @@
     mean: float = 0.0
 
 
-WELL = Trouble()
-
-
 class Ways:
     """listen: the port at which each steward that may ever be there hears its peers."""
 
@@ -36,8 +33,6 @@
         self.listen, self.chance = listen, random.Random(f"ways {seed}")
         self.sockets: dict[tuple[int, int], socket.socket] = {}
         self.troubles: dict[tuple[int, int], list[Trouble]] = {}
-        self.counts: Counter[str] = Counter()
-        self.bytes: Counter[int] = Counter()  # by sender
         self.held = 0
         for a in listen:
             for b in listen:
@@ -93,19 +88,14 @@
                 return
             except OSError:
                 continue  # b is not there: it refused an earlier one
-            self.counts["sent"] += 1
-            self.bytes[a] += len(data)
             troubles = self.troubles.get((a, b), ())
             if any(t.cut or self.chance.random() < t.loss for t in troubles):
-                self.counts["lost"] += 1
                 continue
             copies = 1 + any(self.chance.random() < t.repeat for t in troubles)
-            self.counts["repeated"] += copies - 1
             for _ in range(copies):
                 late = sum(t.mean * self.chance.expovariate(1.0) for t in troubles if t.mean)
                 if late and self.held < HELD_MOST:
                     self.held += 1
-                    self.counts["late"] += 1
                     asyncio.get_running_loop().call_later(late / 1000.0, self.let_go, a, b, data)
                 else:
                     self.forward(a, b, data)
@@ -118,7 +108,5 @@
         out = self.sockets.get((b, a))
         if out is None:
             return
-        try:
+        with suppress(OSError):  # b is not there, or its buffer is full: lost, as datagrams may be
             out.sendto(data, ("127.0.0.1", self.listen[b]))
-        except OSError:
-            self.counts["refused"] += 1
--- a/corallanding/quota/divider.py
+++ b/corallanding/quota/divider.py
@@ -51,9 +51,6 @@
         in which we can say that we hold it."""
         self.since, self.first, self.books, self.known = now, first, {}, {}
 
-    def lent(self, now: float, key: Key) -> int:
-        return sum(life.out(now) for life in self.books.get(key, {}).values())
-
     def asked(self, now: float, sender: int, word: Want) -> Give:
         """now: an instant at which the office was held."""
         if word.to != self.life or word.office < self.first:
--- a/corallanding/quota/holder.py
+++ b/corallanding/quota/holder.py
@@ -72,7 +72,7 @@
         return budget.floor if now >= self.born + self.terms.theirs(budget.span) else 0
 
     def free(self, now: float, budget: Budget, subject: int = 0) -> int:
-        """How many may be taken now. Looking for more than there is counts as a wish."""
+        """How many may be taken now. Looking is no wish: see `miss`."""
         a = self.account(now, budget, subject)
         if a is None:
             return 0
--- a/corallanding/quota/vote.py
+++ b/corallanding/quota/vote.py
@@ -62,7 +62,7 @@
 
 @dataclass
 class Candidate:
-    """One that may hold the office. `stand` and `heard` return words for the voters."""
+    """One that may hold the office. `tick`, `give_up` and `leave` return words for the voters."""
 
     me: int
     life: int
