--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,3 @@
+"""What holds for all tests."""
+
+pytest_plugins = ["known_red"]
