--- a/corallanding/collector/door.py
+++ b/corallanding/collector/door.py
@@ -8,11 +8,12 @@
 from typing import cast
 
 from .. import interface as api
+from ..dial import Limit
 from ..steward.listen import Listener
 from .core import REJECT, SIGN_OF_LIFE, Intake, Peer
 
 UNREAD_MOST = 4_096  # bytes of answers that a peer may leave unread
-JOIN_WITHIN = 1.0  # s
+JOIN_WITHIN = 1_000.0  # ms
 
 
 class Link(asyncio.Protocol):
@@ -20,14 +21,17 @@
         self.door = door
         self.peer = Peer(door.intake)
         self.owed = 0
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Limit | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=UNREAD_MOST)
-        self.timer = asyncio.get_running_loop().call_later(JOIN_WITHIN, self.late)
+        self.timer = self.limit()
         self.door.came(self)
 
+    def limit(self) -> Limit:
+        return Limit(asyncio.get_running_loop(), JOIN_WITHIN, self.late)
+
     def data_received(self, data: bytes) -> None:
         heard = self.peer.feed(data)
         if self.peer.zone is not None and self.timer:
@@ -53,7 +57,7 @@
             self.transport.write(SIGN_OF_LIFE * self.owed)
             self.owed = 0
             if self.timer is None and self.peer.zone is None:  # it had its second: no longer
-                self.timer = asyncio.get_running_loop().call_later(JOIN_WITHIN, self.late)
+                self.timer = self.limit()
 
     def pause_writing(self) -> None:
         self.end("leaves answers unread")
--- a/corallanding/discovery/core.py
+++ b/corallanding/discovery/core.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Annotated, Any
 
 import msgspec
 
 from .. import interface as api
 from ..names import number
+from ..unreadable import UNREADABLE
 
 STATES = {"in_service": "up", "terminating": "draining", "terminated": "removed"}
 GONE_MOST = 256  # hosts that left whose addresses are still known: a report or a probe may be under way
@@ -53,7 +55,7 @@
         """Raises BadAnswer."""
         try:
             return msgspec.json.decode(body, type=Answer)
-        except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        except UNREADABLE as fault:
             raise BadAnswer(str(fault)) from None
 
     def entry(self, raw: Any) -> tuple[api.HostEntry, str]:
@@ -70,6 +72,17 @@
         zone, kind = self.zones.get(e.site, 0), self.kinds.get(e.kind, 0)
         return api.HostEntry(host, zone, kind, e.block, STATES[e.health], e.share, e.born_ms), e.dial
 
+    def damaged(self, raw: Any) -> api.HostEntry | None:
+        """The host of an entry that cannot be used, at its last good state; but where it says that the host leaves,
+        this is readable, and counts: no drain waits for an entry to be mended. None for a host that is not known."""
+        said = raw if isinstance(raw, dict) else {}
+        try:
+            entry = self.entries.get(number(said["host"])) if isinstance(said.get("host"), str) else None
+        except ValueError:
+            return None
+        leaves = said.get("health") in ("terminating", "terminated")
+        return replace(entry, state=STATES[said["health"]]) if entry and leaves else entry
+
     def take(self, answer: Answer, form: api.ListForm | None = None) -> api.Membership | None:
         """form: if it is not for the answer to say. None where nothing has changed."""
         self.bad, entries, held = [], dict[int, api.HostEntry](), set[int]()
@@ -78,8 +91,10 @@
                 e, dial = self.entry(raw)
             except BadAnswer as fault:
                 self.bad.append(str(fault))
-                if isinstance(raw, dict) and isinstance(raw.get("host"), str) and 0 < len(raw["host"]) <= 16:
-                    held.add(number(raw["host"]))
+                if known := self.damaged(raw):
+                    held.add(known.host)
+                    if known is not self.entries[known.host]:
+                        entries[known.host] = known
                 continue
             if e.host not in self.entries and len(self.entries) + len(entries) >= self.hosts_most:
                 self.bad.append(f"more than {self.hosts_most} hosts")
--- a/corallanding/node/config.py
+++ b/corallanding/node/config.py
@@ -15,6 +15,7 @@
 from ..discovery.core import Answer
 from ..simhost.fields import Malformed, ms
 from ..simhost.settings import settings as settings_of
+from ..unreadable import UNREADABLE
 
 Address = tuple[str, int]
 
@@ -122,7 +123,7 @@
         top = msgspec.json.decode(raw, type=Top)
     except msgspec.ValidationError as fault:
         raise BadConfig(named(fault)) from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except UNREADABLE as fault:
         raise BadConfig(f"no JSON: {fault}") from None
 
     def where(path: str, text: str) -> Address:
--- a/corallanding/node/lists.py
+++ b/corallanding/node/lists.py
@@ -44,7 +44,7 @@
             rows = " ".join(f"{name(e.host)}:{e.state}:{e.online_since:.0f}" for e in event.entries)
             log.info("list %d %s %s", event.version, event.form.value, rows)
         self.bad_entries()
-        if event or self.agent.asked:
+        if event or self.agent.on_request:
             self.tell([event or api.Membership(api.ListForm.CHANGES, answer.seq)])
         return True
 
--- a/corallanding/node/program.py
+++ b/corallanding/node/program.py
@@ -1,4 +1,4 @@
-"""`python -m corallanding.node`: one steward on the platform. LB_CONFIG names its configuration.
+"""The program: configuration, signals, the loop. LB_CONFIG names the configuration.
 
 Exit codes: 0 after SIGTERM or SIGINT, 1 if the listening address cannot be had, 2 for a configuration that cannot be
 used (one line on standard error names file and key).
@@ -32,6 +32,7 @@
         loop.add_signal_handler(signal.SIGHUP, service.reload)
         for sign in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(sign, service.stop)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await service.run()
     except OSError as fault:
         log.error("cannot listen on %s:%d: %s", *config.listen, fault)
@@ -39,14 +40,12 @@
     return 0
 
 
-def main() -> int:
+def run() -> int:
     configure()
     path = os.environ.get("LB_CONFIG", "")
     if not path:
         print("corallanding: LB_CONFIG names no configuration file", file=sys.stderr)
         return 2
-    # Until the loop stands: one that comes early must not end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = read(path)
     except BadConfig as fault:
@@ -57,7 +56,3 @@
         return loop.run_until_complete(serve(config, path))
     finally:
         loop.close()
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/corallanding/node/service.py
+++ b/corallanding/node/service.py
@@ -23,6 +23,7 @@
 from . import trace
 from .clock import Clock
 from .config import BadConfig, Config, address, read
+from .gaps import Gaps
 from .lists import Lists
 from .logs import Seldom, Tally, log
 
@@ -49,8 +50,8 @@
         self.intake = Intake(s, config.places, self.view.dials, self.news.tables)
         self.call_link = CallLink(config.store, self.calls, self.clock, self.stood)
         self.news_link = NewsLink(config.store, self.news, self.clock, self.tell, self.calls.under_way, self.said)
-        self.news_link.gap = self.gap
-        self.marked, self.marked_at = -1, 0.0  # the last mark ordered, and when
+        self.gaps = Gaps(s, self.news, self.clock, self.tell)
+        self.news_link.gap = self.gaps.bridged
         self.prober = Prober(
             self.probed, self.clock, "/load" if s.load_in_probe else "/healthz", 2.0 * config.dial_timeout, PROBES_MOST,
             where=address, load_in_body=True,
@@ -59,7 +60,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.due_at, self.stepped_at, self.took, self.took_most = float("inf"), 0.0, 0.0, 0.0
         self.begun = self.clock()
-        self.ended = asyncio.Event()
+        self.ending = False
         self.warming: asyncio.TimerHandle | None = None
         self.spoilt, self.turned_away = Tally("spoilt reports"), Tally("ended")
         self.trace = traced
@@ -90,7 +91,7 @@
             self.turned_away.say(self.door.ended)
 
     def ready(self) -> None:
-        if self.door and not self.door.ready:
+        if self.door and not self.door.ready and not self.ending:
             self.door.open()
             gc.collect()
             gc.freeze()
@@ -99,6 +100,8 @@
 
     def reload(self) -> None:
         """SIGHUP: the new addresses; what else the file says is for the next start."""
+        if self.ending:
+            return
         try:
             new = read(self.path)
         except BadConfig as fault:
@@ -110,25 +113,25 @@
         self.agent.move(new.discovery)
 
     def stop(self) -> None:
-        """SIGTERM: no new connections; the outstanding call may end."""
+        """SIGTERM: no new connection, turn or call. The call in flight may end: it is whole, or it never began."""
+        if self.ending:
+            return
+        self.ending = True
         log.info("ending")
+        for part in (self.timer, self.warming):
+            if part:
+                part.cancel()
         if self.door:
             self.door.close()
-        self.loop.create_task(self.end())
-
-    async def end(self) -> None:
-        until = self.clock() + 200.0
-        while self.calls.flying and self.clock() < until:
-            await asyncio.sleep(0.005)
-        self.ended.set()
+        self.news_link.close()
+        self.agent.stop()
+        self.prober.stop()
+        self.call_link.finish()
 
     async def run(self) -> None:
         self.start()
-        await self.ended.wait()
+        await self.call_link.idle.wait()  # within the time that an answer may take
         self.call_link.close()
-        self.news_link.close()
-        self.agent.stop()
-        self.prober.stop()
 
     # ---- what happens ------------------------------------------------------------------------------------
 
@@ -162,20 +165,12 @@
             self.said(text)
         self.calls.said.clear()
 
-    def gap(self) -> None:
-        """News goes on after a gap: acks of what has left the channel by now were lost in it."""
-        s = self.config.settings
-        over = self.marked_at + s.queue_most * 1000.0 / s.channel_rate + s.transit_most
-        self.loop.call_later(max(0.0, over - self.clock()) / 1000.0, self.lost, self.marked)
-
-    def lost(self, mark: int) -> None:
-        if mark >= 0:
-            self.tell(self.news.lost(mark))
-
     # ---- turns -------------------------------------------------------------------------------------------
 
     def wake(self) -> None:
         """A step is due: at once, or as soon as the last one lies back by the period and by what it took."""
+        if self.ending:
+            return
         now = self.clock()
         at = max(now, self.stepped_at + max(self.config.settings.period, self.took))
         if not self.turns.inbox:
@@ -223,7 +218,7 @@
                 case api.SetLine() | api.Level() | api.Cordon() | api.ResetTable() | api.Mark():
                     orders.append(a)
                     if isinstance(a, api.Mark):
-                        self.marked, self.marked_at = a.number, now
+                        self.gaps.ordered(a.number, now)
                 case api.Remind():
                     self.turns.remind(now + a.after, a.handle)
                 case api.Probe():
--- a/corallanding/relay/call_link.py
+++ b/corallanding/relay/call_link.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ..dial import Address, Dialer, Limit
 from .calls import Calls
 from .lines import Lines
 from .orders import Order
@@ -18,76 +19,60 @@
     """
 
     def __init__(
-        self, where: tuple[str, int], calls: Calls, clock: Callable[[], float], stood: Callable[[list[Order]], None],
+        self, where: Address, calls: Calls, clock: Callable[[], float], stood: Callable[[list[Order]], None],
         answer_within: float = 100.0, dial_within: float = 300.0, idle_most: float = 2_000.0,
     ) -> None:  # fmt: skip
         self.where, self.calls, self.clock, self.stood = where, calls, clock, stood
-        self.answer_within, self.dial_within, self.idle_most = answer_within, dial_within, idle_most
+        self.answer_within, self.idle_most = answer_within, idle_most
         self.loop = asyncio.get_running_loop()
+        self.dialer = Dialer(lambda at: Lines(at, self.heard, self.lost), self.adopted, self.unreached, dial_within)
         self.conn: Lines | None = None
         self.used = 0.0
-        self.dialing: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.closed = False
+        self.waits: asyncio.TimerHandle | None = None  # for the time of the next call
+        self.limit: Limit | None = None  # of the call in flight
+        self.last = False  # no call begins any more
+        self.idle = asyncio.Event()  # none is in flight, and none will be
 
     def kick(self) -> None:
         """Something waits, or may go now."""
-        if self.calls.flying or self.dialing or self.closed:
+        if self.calls.flying or self.dialer.busy or self.last:
             return
-        self.stop_timer()
+        self.stop_waiting()
         now = self.clock()
         at = self.calls.next_at(now)
         if at is None:
             return
         if at > now:
-            self.timer = self.loop.call_later((at - now) / 1000.0, self.kick)
-        elif self.conn is None or now - self.used > self.idle_most:
-            self.dialing = self.loop.create_task(self.dial())
+            self.waits = self.loop.call_later((at - now) / 1000.0, self.kick)
+        elif self.conn is None or self.conn.where != self.where or now - self.used > self.idle_most:
+            self.dialer.dial(self.where)
         else:
-            self.send(self.conn)
-
-    def stop_timer(self) -> None:
-        if self.timer:
-            self.timer.cancel()
-            self.timer = None
-
-    async def dial(self) -> None:
-        where, conn = self.where, None
-        try:
-            async with asyncio.timeout(self.dial_within / 1000.0):
-                _, conn = await self.loop.create_connection(lambda: Lines(self.heard, self.over), *where)
-        except OSError:  # a time-out is one
-            self.calls.unsent(self.clock())
-        finally:
-            self.dialing = None
-        if conn:
-            if self.conn:
-                self.conn.drop()
-            self.conn, self.used = conn, self.clock()
-            if where != self.where:  # moved meanwhile
-                self.give_up()
+            self.send(self.conn, now)
+
+    def stop_waiting(self) -> None:
+        if self.waits:
+            self.waits.cancel()
+            self.waits = None
+
+    def adopted(self, conn: Lines) -> None:
+        self.give_up()
+        self.conn, self.used = conn, self.clock()
         self.kick()
 
-    def send(self, conn: Lines) -> None:
-        now = self.clock()
+    def unreached(self, why: str) -> None:
+        self.calls.unsent(self.clock())
+        self.kick()
+
+    def send(self, conn: Lines, now: float) -> None:
         if call := self.calls.next(now):
             conn.transport.write(call.line)
             self.used = now
-            self.timer = self.loop.call_later(self.answer_within / 1000.0, self.late, call.id)
-
-    def late(self, id: int) -> None:
-        # Timers come before reads in a turn of the loop: a loop that was busy reads first what came meanwhile.
-        self.timer = self.loop.call_later(0.005, self.never, id)
-
-    def never(self, id: int) -> None:
-        if self.calls.flying and self.calls.flying.id == id:
-            self.unknown()
+            self.limit = Limit(self.loop, self.answer_within, self.unknown)
 
     def unknown(self) -> None:
-        self.stop_timer()
         self.give_up()
         self.calls.unknown(self.clock())
-        self.kick()
+        self.ended()
 
     def give_up(self) -> None:
         if self.conn:
@@ -96,32 +81,48 @@
 
     def heard(self, conn: Lines, lines: list[bytes]) -> None:
         for line in lines:
-            if conn is not self.conn or not self.calls.flying:
+            if not conn.open or not self.calls.flying:
                 return
             orders = self.calls.answered(self.clock(), line)
             if orders is None:
                 self.unknown()
                 return
             self.used = self.clock()
-            self.stop_timer()
             self.stood(orders)
+        if not self.calls.flying:
+            self.ended()
+
+    def ended(self) -> None:
+        """The call in flight has ended, one way or the other."""
+        if self.limit:
+            self.limit.cancel()
+            self.limit = None
+        if self.last:
+            self.idle.set()
         self.kick()
 
-    def over(self, conn: Lines) -> None:
-        if conn is self.conn:
-            self.conn = None
-            if self.calls.flying:
-                self.unknown()
+    def lost(self, conn: Lines) -> None:
+        self.conn = None
+        if self.calls.flying:
+            self.unknown()
 
-    def move(self, where: tuple[str, int]) -> None:
+    def move(self, where: Address) -> None:
         """The relay is elsewhere from now on. An outstanding call ends first, one way or the other."""
         if where != self.where:
             self.where = where
-            self.used = -1e18  # the next call dials
-            if self.calls.flying is None:
-                self.kick()
+            self.dialer.cancel()
+            self.kick()
+
+    def finish(self) -> None:
+        """The call in flight may end, none begins after it: `idle` says when."""
+        self.last = True
+        self.stop_waiting()
+        self.dialer.cancel()
+        if not self.calls.flying:
+            self.idle.set()
 
     def close(self) -> None:
-        self.closed = True
-        self.stop_timer()
+        self.finish()
+        if self.limit:
+            self.limit.cancel()
         self.give_up()
--- a/corallanding/relay/calls.py
+++ b/corallanding/relay/calls.py
@@ -9,15 +9,17 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
 from .. import interface as api
+from ..unreadable import UNREADABLE
 from .channel import Channel
 from .orders import Key, Order, encode, key, rank
 
+TABLE = api.SetLine | api.ResetTable | api.Level  # orders on one table
 CALL_MOST = 60_000  # bytes of orders in one call
 FIRST, AGAIN_MOST = 20.0, 500.0  # ms to wait after a call that failed, doubled each time up to the most
 
@@ -30,11 +32,16 @@
 
 @dataclass
 class Call:
-    """bytes: the line to send. orders: what it holds, in turn."""
+    """bytes: the line to send. orders: what it holds, in turn. void: slices taken away since it was sent: its orders on
+    them count for nothing, whatever becomes of it."""
 
     id: int
     line: bytes
     orders: list[Order]
+    void: set[int] = field(default_factory=set)
+
+    def valid(self, orders: list[Order]) -> list[Order]:
+        return [o for o in orders if not (isinstance(o, TABLE) and o.slice in self.void)]
 
 
 class Calls:
@@ -46,7 +53,7 @@
     ) -> None:
         self.operations, self.messages_most, self.span = operations, messages_most, span
         self.channel = channel or Channel()
-        self.doubted: list[Order] = []  # of the last call of which nobody knew whether it was carried out
+        self.doubted: Call | None = None  # the last one of which nobody knew whether it was carried out
         self.waiting: dict[Key, Order] = {}
         self.flying: Call | None = None
         self.sent: deque[float] = deque()  # when calls went out that may have become messages
@@ -63,13 +70,20 @@
             self.waiting[key(o)] = o
 
     def forget(self, slice: int) -> None:
-        """The slice is not in this steward's charge any more: what waits for it is void."""
+        """The slice is not in this steward's charge any more: what waits for it is void, and what is on its way.
+
+        Guards against an old line that comes back with a call of unknown fate after the slice has been given again: the
+        table would hold a host that the module does not know of there.
+        """
         for k in [k for k in self.waiting if k[0] in ("line", "empty", "level") and k[1] == slice]:
             del self.waiting[k]
+        for call in (self.flying, self.doubted):
+            if call:
+                call.void.add(slice)
 
     def under_way(self) -> list[api.SetLine | api.ResetTable]:
         """Orders on tables that are not confirmed, in turn."""
-        rows = [*(self.flying.orders if self.flying else []), *self.waiting.values()]
+        rows = [*(self.flying.valid(self.flying.orders) if self.flying else []), *self.waiting.values()]
         return [o for o in rows if isinstance(o, api.SetLine | api.ResetTable)]
 
     def next_at(self, now: float) -> float | None:
@@ -115,8 +129,10 @@
             return []
         try:
             answer = msgspec.json.decode(line, type=Answer)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except UNREADABLE:
             return None
+        if type(answer.id) is int and 0 < answer.id < call.id:
+            return []  # an echo of a call that has ended: it says nothing of this one
         if answer.id != call.id or isinstance(answer.id, bool):
             return None
         if answer.error is not None:
@@ -124,13 +140,13 @@
         taken = answer.result.get("taken") if isinstance(answer.result, dict) else None
         if not isinstance(taken, int) or isinstance(taken, bool) or not 0 <= taken <= len(call.orders):
             return None
-        self.flying, self.failed, self.not_before, self.doubted = None, 0, 0.0, []
+        self.flying, self.failed, self.not_before, self.doubted = None, 0, 0.0, None
         if taken < len(call.orders):
             fault = call.orders[taken]
             self.count["refused"] += 1
             self.said.append(f"the relay cannot use {encode(fault, self.operations).decode()}: left out")
-            self.put_back(call.orders[taken + 1 :])
-        return call.orders[:taken]
+            self.put_back(call.valid(call.orders[taken + 1 :]))
+        return call.valid(call.orders[:taken])
 
     def refused(self, now: float, error: Any) -> list[Order] | None:
         """An error is the relay's word that nothing was carried out, if it names one that there is."""
@@ -141,7 +157,7 @@
             self.count["turned away"] += 1
             self.unsaid(call)
             self.flying = None
-            self.put_back(call.orders)
+            self.put_back(call.valid(call.orders))
             self.back_off(now)
             return []
         if "ValidationError" in said:
@@ -163,17 +179,18 @@
         if call is None:
             return
         self.count["unknown"] += 1
-        self.flying, self.doubted = None, call.orders
-        self.put_back(call.orders)
+        self.flying, self.doubted = None, call
+        self.put_back(call.valid(call.orders))
         if self.failed:
             self.back_off(now)
         self.failed += 1
 
     def applied(self, number: int) -> list[Order]:
         """A proxy has applied the mark: a call that held it was carried out. The orders that stand by it."""
-        if not any(isinstance(o, api.Mark) and o.number == number for o in self.doubted):
+        call = self.doubted
+        if not call or not any(isinstance(o, api.Mark) and o.number == number for o in call.orders):
             return []
-        stood, self.doubted = self.doubted, []
+        stood, self.doubted = call.valid(call.orders), None
         for o in stood:
             if self.waiting.get(key(o)) is o:
                 del self.waiting[key(o)]
--- a/corallanding/relay/news.py
+++ b/corallanding/relay/news.py
@@ -14,6 +14,7 @@
 
 from .. import interface as api
 from ..names import number
+from ..unreadable import UNREADABLE
 
 TableOrder = api.SetLine | api.ResetTable
 
@@ -88,7 +89,7 @@
         """Raises BadNews."""
         try:
             return decoder.decode(line)
-        except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        except UNREADABLE as fault:
             raise BadNews(f"{line[:80]!r}: {fault}") from None
 
     def begun(self, s: Standing, n: Notice) -> None:
--- a/corallanding/relay/news_link.py
+++ b/corallanding/relay/news_link.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from .. import interface as api
+from ..dial import Address, Dialer
 from .lines import Lines
 from .news import BadNews, News, Standing, TableOrder
 
@@ -15,10 +16,11 @@
 class Session(Lines):
     """A connection with news. `standing` until what stands is known for whole."""
 
-    def __init__(self, owner: NewsLink, where: tuple[str, int]) -> None:
-        super().__init__(owner.heard, owner.over)
-        self.where = where
-        self.standing: Standing | None = owner.news.opening()
+    def __init__(
+        self, where: Address, heard: Callable[[Session, list[bytes]], None], lost: Callable[[Session], None]
+    ) -> None:
+        super().__init__(where, heard, lost)
+        self.standing: Standing | None = None
         self.begun = False  # the relay has said that it will tell
         self.quiet: asyncio.TimerHandle | None = None
 
@@ -28,23 +30,25 @@
 
     tell: takes events. under_way: orders on tables not yet confirmed. silence: after which a connection that says
     nothing is given up. whole_after: without a word, what stands is taken for whole (a sign of life says so at once).
+    lines_after: how long a slice given waits for its lines since the last word of any; five times that at most.
     """
 
     def __init__(
-        self, where: tuple[str, int], news: News, clock: Callable[[], float], tell: Callable[[list[api.Event]], None],
+        self, where: Address, news: News, clock: Callable[[], float], tell: Callable[[list[api.Event]], None],
         under_way: Callable[[], list[TableOrder]], said: Callable[[str], None], silence: float = 2_500.0,
         whole_after: float = 150.0, lines_after: float = 30.0, dial_within: float = 300.0,
     ) -> None:  # fmt: skip
         self.where, self.news, self.clock, self.tell = where, news, clock, tell
         self.under_way, self.said = under_way, said
-        self.silence, self.dial_within = silence, dial_within
-        self.whole_after, self.lines_after = whole_after, lines_after
+        self.silence, self.whole_after, self.lines_after = silence, whole_after, lines_after
         self.loop = asyncio.get_running_loop()
+        self.dialer = Dialer(lambda at: Session(at, self.heard, self.over), self.adopted, self.unreached, dial_within)
         self.current: Session | None = None  # whose news counts
         self.coming: Session | None = None  # that will take its place
-        self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.again: asyncio.TimerHandle | None = None  # for the next dial
         self.lines: asyncio.TimerHandle | None = None
+        self.lines_since = 0.0
         self.wait, self.closed, self.settled_once = 0.0, False, False
         self.breaks = self.bridged = 0
         self.gap: Callable[[], None] = lambda: None  # told when news goes on after a gap
@@ -54,44 +58,35 @@
 
     def watch(self) -> None:
         """Look after the connections, four times within a silence."""
-        if self.closed:
-            return
         now = self.clock()
-        if self.current and now - self.current.at > self.silence:
-            self.said("news has fallen silent")
-            self.current.drop()
-            self.current = None
-            self.breaks += 1
-        if self.coming and now - self.coming.at > self.silence:
-            self.coming.drop()
-            self.coming = None
+        for session in (self.current, self.coming):
+            if session and now - session.at > self.silence:
+                if session is self.current:
+                    self.said("news has fallen silent")
+                session.drop()
+                self.over(session)
         self.dial()
-        if self.timer:
-            self.timer.cancel()
         self.timer = self.loop.call_later(self.silence / 4000.0, self.watch)
 
     def dial(self) -> None:
+        """A new connection, if one is wanted and none is on its way."""
         wanted = self.current is None or self.current.where != self.where
-        if wanted and self.coming is None and self.task is None and not self.closed:
-            self.task = self.loop.create_task(self.open())
-
-    async def open(self) -> None:
-        try:
-            if self.wait:
-                await asyncio.sleep(self.wait / 1000.0)
+        if wanted and not (self.coming or self.dialer.busy or self.again or self.closed):
+            self.again = self.loop.call_later(self.wait / 1000.0, self.dial_now)
             self.wait = min(500.0, max(20.0, self.wait * 2.0))
-            where = self.where
-            async with asyncio.timeout(self.dial_within / 1000.0):
-                _, session = await self.loop.create_connection(lambda: Session(self, where), *where)
-            session.at = self.clock()
-            self.coming = session
-            session.transport.write(WATCH)
-        except OSError:
-            pass
-        finally:
-            self.task = None
+
+    def dial_now(self) -> None:
+        self.again = None
+        self.dialer.dial(self.where)
+
+    def unreached(self, why: str) -> None:
         self.dial()
 
+    def adopted(self, session: Session) -> None:
+        session.at, session.standing = self.clock(), self.news.opening()
+        self.coming = session
+        session.transport.write(WATCH)
+
     def heard(self, session: Session, lines: list[bytes]) -> None:
         session.at = self.clock()
         events: list[api.Event] = []
@@ -122,7 +117,7 @@
             self.tell(events)
 
     def settle(self, session: Session) -> None:
-        if session.standing is None or session.dropped or session is not self.coming:
+        if session.standing is None or session is not self.coming:
             return
         if session.quiet:
             session.quiet.cancel()
@@ -137,9 +132,14 @@
         self.dial()
 
     def lines_come(self) -> None:
+        now = self.clock()
         if self.lines:
             self.lines.cancel()
-        self.lines = self.loop.call_later(self.lines_after / 1000.0, self.given)
+        else:
+            self.lines_since = now
+        # Not for ever: a relay that goes on telling lines would keep a slice from ever being told.
+        after = min(now + self.lines_after, self.lines_since + 5.0 * self.lines_after)
+        self.lines = self.loop.call_later(max(0.0, after - now) / 1000.0, self.given)
 
     def given(self) -> None:
         self.lines = None
@@ -147,6 +147,7 @@
             self.tell(events)
 
     def over(self, session: Session) -> None:
+        """A connection ended, by itself or because it was given up."""
         if session.quiet:
             session.quiet.cancel()
         if session is self.current:
@@ -156,22 +157,33 @@
             self.coming = None
         self.dial()
 
-    def move(self, where: tuple[str, int]) -> None:
+    def move(self, where: Address) -> None:
         """The relay is elsewhere: the old connection goes on until the new one knows what stands."""
         if where != self.where:
             self.where, self.wait = where, 0.0
-            if self.coming:
-                self.coming.drop()
-                self.coming = None
+            self.stop_coming()
             self.dial()
 
+    def stop_coming(self) -> None:
+        self.dialer.cancel()
+        if self.again:
+            self.again.cancel()
+            self.again = None
+        if self.coming:
+            self.drop(self.coming)
+            self.coming = None
+
+    def drop(self, session: Session) -> None:
+        if session.quiet:
+            session.quiet.cancel()
+        session.drop()
+
     def close(self) -> None:
         self.closed = True
+        self.stop_coming()
+        if self.current:
+            self.drop(self.current)
+            self.current = None
         for timer in (self.timer, self.lines):
             if timer:
                 timer.cancel()
-        for session in (self.current, self.coming):
-            if session:
-                session.drop()
-        if self.task:
-            self.task.cancel()
--- /dev/null
+++ b/tests/crossings_relay.py
@@ -0,0 +1,77 @@
+"""The relay's two connections and what comes of them, for forced crossings."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from crossings import FOR_EVER, Address, Side, Stand, clock, until
+from platform_front import HOSTS, SETTINGS, ZONES
+
+from corallanding import interface as api
+from corallanding.relay.call_link import CallLink
+from corallanding.relay.calls import Calls
+from corallanding.relay.news import News
+from corallanding.relay.news_link import NewsLink
+
+A, B, C = HOSTS[:3]
+
+
+class Caller:
+    def __init__(self, where: Address, **more: Any) -> None:
+        self.calls, self.stood = Calls(["lookup"]), list[Any]()
+        more = {"answer_within": FOR_EVER, "dial_within": FOR_EVER, **more}
+        self.link = CallLink(where, self.calls, clock, self.stood.extend, **more)
+
+    def order(self, slice: int) -> None:
+        self.calls.order([api.SetLine(slice, A, 1.0)])
+        self.link.kick()
+
+
+async def called(side: Side, *slices: int) -> int:
+    """The next call is on these slices; its id."""
+    said = await side.line()
+    assert [o["table"] for o in said["params"]["ops"]] == list(slices)
+    return int(said["id"])
+
+
+def taken(id: int, count: int = 1) -> dict[str, Any]:
+    return {"jsonrpc": "2.0", "id": id, "result": {"taken": count}}
+
+
+RESULT = {"jsonrpc": "2.0", "id": 1, "result": True}
+PING: tuple[str, dict[str, Any]] = ("ping", {})
+
+
+class Watcher:
+    def __init__(self, where: Address, **more: Any) -> None:
+        self.news, self.events, self.said, self.gaps = News(SETTINGS, ZONES), list[Any](), list[str](), 0
+        more = {"silence": FOR_EVER, "whole_after": FOR_EVER, "lines_after": 1.0, "dial_within": FOR_EVER, **more}
+        self.link = NewsLink(where, self.news, clock, self.events.extend, lambda: [], self.said.append, **more)
+        self.link.gap = self.gap
+
+    def gap(self) -> None:
+        self.gaps += 1
+
+    def told(self) -> list[Any]:
+        """What was told since the last time."""
+        events, self.events[:] = list(self.events), []
+        return events
+
+
+async def watched(stand: Stand) -> Side:
+    side = await stand.next()
+    assert (await side.line())["method"] == "relay.watch"
+    return side
+
+
+async def standing(w: Watcher, stand: Stand, *rows: tuple[str, dict[str, Any]]) -> Side:
+    """What stands is said, up to the first sign of life."""
+    side = await watched(stand)
+    side.say(RESULT)
+    side.tell(*rows, PING)
+    await until(lambda: w.link.current and w.link.coming is None)
+    return side
+
+
+def joined(node: int) -> api.ProxyJoined:
+    return api.ProxyJoined(node, 0, 2.5, True)
--- /dev/null
+++ b/tests/test_crossings_agent.py
@@ -0,0 +1,175 @@
+"""What may come between two lines of the agent's connection: moves, ends, faults. Each order is forced."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from crossings import Dials, Stand, nobody, play, turns, until
+from crossings_agent import Listed, agent, asked, poll
+
+
+def test_a_dial_of_the_old_address_that_comes_up_after_the_new_one_is_not_used() -> None:
+    async def scene() -> None:
+        dials, listener = Dials(), Listed()
+        async with Stand() as old, Stand() as new:
+            dials.early(old.where)
+            a = agent(old, listener)
+            a.start()
+            await until(lambda: dials.count.get(old.where))
+            a.move(new.where)
+            fresh = await new.next()
+            await turns()
+            dials.let(old.where)
+            assert await fresh.question() == poll(0)
+            await turns()
+            assert a.conn and a.conn.transport.get_extra_info("peername") == new.where
+            for side in old.sides:
+                await side.gone()
+            a.stop()
+            await fresh.gone()
+
+    play(scene)
+
+
+def test_a_dial_of_the_new_address_changed_back_meanwhile_leaves_the_old_connection() -> None:
+    async def scene() -> None:
+        dials, listener = Dials(), Listed()
+        async with Stand() as old, Stand() as new:
+            a = agent(old, listener)
+            a.start()
+            side = await asked(old, poll(0))
+            dials.early(new.where)
+            a.move(new.where)
+            await until(lambda: dials.count.get(new.where))
+            a.move(old.where)
+            back = await asked(old, poll(0))
+            dials.let(new.where)
+            await side.gone()
+            for stray in new.sides:
+                await stray.gone()
+            back.answer(b"3")
+            assert await back.question() == poll(3)
+            a.stop()
+
+    play(scene)
+
+
+def test_an_address_where_nobody_listens_is_dialled_again_while_the_old_one_goes_on() -> None:
+    async def scene() -> None:
+        dials, listener = Dials(), Listed()
+        empty = await nobody()
+        async with Stand() as old:
+            a = agent(old, listener)
+            a.start()
+            side = await asked(old, poll(0))
+            a.move(empty)
+            for version in (1, 2):
+                await until(lambda version=version: dials.over.get(empty, 0) >= version)
+                await turns()
+                side.answer(b"%d" % version)
+                assert await side.question() == poll(version)
+            await until(lambda: dials.count[empty] == 3)
+            assert not listener.failures
+            a.stop()
+
+    play(scene)
+
+
+def test_a_poll_that_moves_is_asked_at_the_new_address_and_told_as_no_failure() -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as old, Stand() as new:
+            a = agent(old, listener, on_request=True)
+            a.start()
+            a.fetch()
+            side = await asked(old, "/v1/servers")
+            a.move(new.where)
+            moved = await asked(new, "/v1/servers")
+            await side.gone()
+            moved.answer(b"5")
+            await until(lambda: listener.version == 5)
+            assert not listener.failures
+            a.stop()
+
+    play(scene)
+
+
+def test_nothing_is_dialled_after_the_end() -> None:
+    async def scene() -> None:
+        dials, listener = Dials(), Listed()
+        async with Stand() as old, Stand() as new:
+            dials.early(old.where)
+            a = agent(old, listener)
+            a.start()
+            await until(lambda: dials.count.get(old.where))
+            a.stop()
+            a.move(new.where)
+            a.fetch()
+            dials.let(old.where)
+            await turns()
+            assert new.where not in dials.count and a.conn is None
+            for side in old.sides:
+                await side.gone()
+
+    play(scene)
+
+
+# ---- a listener that fails, questions that come to nothing (7, 8) ----------------------------------------
+
+
+def test_a_fault_in_what_the_answer_goes_to_does_not_end_the_watch() -> None:
+    async def scene() -> None:
+        listener = Listed(raises=2)
+        faults: list[Any] = []
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: faults.append(context))
+        async with Stand() as stand:
+            a = agent(stand, listener)
+            a.start()
+            for _ in range(3):
+                (await asked(stand, poll(0))).answer(b"4")
+            await until(lambda: listener.version == 4)
+            assert len(faults) == 2, "and is told"
+            a.stop()
+
+    play(scene)
+
+
+def test_a_whole_list_asked_for_is_asked_for_again_until_it_comes() -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as stand:
+            a = agent(stand, listener)
+            a.start()
+            side = await asked(stand, poll(0))
+            a.fetch()
+            side.answer(b"1")
+            assert await side.question() == "/v1/servers"
+            side.reset()
+            side = await asked(stand, "/v1/servers")
+            side.answer(b"2")
+            assert await side.question() == poll(2)
+            a.stop()
+
+    play(scene)
+
+
+def test_asked_to_follow_while_a_call_fails_it_tells_the_failure_after_that_and_asks_when_asked_again() -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as stand:
+            a = agent(stand, listener, on_request=True)
+            a.start()
+            a.follow(True)
+            side = await asked(stand, poll(0))
+            a.follow(True)
+            side.reset()
+            await until(lambda: listener.failures)
+            assert len(listener.failures) == 1
+            await turns()
+            assert stand.came.empty(), "one word for each call; the module asks again"
+            a.follow(True)
+            await asked(stand, poll(0))
+            a.stop()
+
+    play(scene)
--- /dev/null
+++ b/tests/test_crossings_answers.py
@@ -0,0 +1,168 @@
+"""An agent that falls silent late, answers twice, in part, without end or in no HTTP. Each order is forced."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from crossings import FOR_EVER, Side, Stand, busy, play, turns, until
+from crossings_agent import Listed, agent, asked, poll
+
+
+def half(side: Side) -> None:
+    side.say(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n123")
+
+
+@pytest.mark.parametrize("said", [lambda side: None, half, lambda side: side.say(b"HTTP/1.1 200 OK\r\nCont")])
+def test_one_that_says_nothing_or_half_is_given_up_and_asked_anew(said: Any) -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as stand:
+            a = agent(stand, listener, wait=0.0, late=30.0)
+            a.start()
+            side = await asked(stand, poll(0, 0))
+            said(side)
+            again = await asked(stand, poll(0, 0))
+            await side.gone()
+            a.late = FOR_EVER
+            side.say(b"456789")
+            again.answer(b"7")
+            await until(lambda: listener.version == 7)
+            assert listener.bodies == [b"7"]
+            a.stop()
+
+    play(scene)
+
+
+def test_an_answer_that_is_there_when_the_limit_passes_is_taken() -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as stand:
+            a = agent(stand, listener, wait=0.0, late=100.0)
+            a.start()
+            side = await asked(stand, poll(0, 0))
+            busy(lambda: side.now(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7"), 0.2)
+            assert await side.question() == poll(7, 0)
+            assert a.polls == 2
+            a.stop()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("head", [b"Content-Length: 1\r\n", b"Content-Length: 1\r\nConnection: close\r\n"])
+def test_a_connection_closed_right_after_a_whole_answer_costs_nothing(head: bytes) -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as stand:
+            a = agent(stand, listener)
+            a.start()
+            side = await asked(stand, poll(0))
+            side.answer(b"7", head)
+            side.close()
+            await asked(stand, poll(7))
+            assert listener.bodies == [b"7"]
+            a.stop()
+
+    play(scene)
+
+
+@pytest.mark.parametrize(("end", "bodies"), [(Side.close, [b"17"]), (Side.reset, [])])
+def test_a_body_without_a_length_ends_with_the_connection_unless_that_was_reset(end: Any, bodies: list[bytes]) -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as stand:
+            a = agent(stand, listener)
+            a.start()
+            side = await asked(stand, poll(0))
+            side.say(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n1")
+            await turns()
+            side.say(b"7")
+            await until(lambda: a.conn is None or bytes(a.conn.body) == b"17")
+            end(side)
+            await asked(stand, poll(17 if bodies else 0))
+            assert listener.bodies == bodies
+            a.stop()
+
+    play(scene)
+
+
+def test_an_answer_cut_by_the_end_of_the_connection_is_none() -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as stand:
+            a = agent(stand, listener)
+            a.start()
+            side = await asked(stand, poll(0))
+            half(side)
+            side.close()
+            await asked(stand, poll(0))
+            assert not listener.bodies
+            a.stop()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("one_write", [True, False])
+def test_a_second_answer_is_not_taken_for_that_of_the_next_question(one_write: bool) -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as stand:
+            a = agent(stand, listener)
+            a.start()
+            side = await asked(stand, poll(0))
+            answers = [b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body for body in (b"7", b"3")]
+            if one_write:
+                side.say(*answers)
+            else:
+                a.follow(False)  # no question is open when it comes
+                side.say(answers[0])
+                await until(lambda: listener.version == 7)
+                side.say(answers[1])
+                await side.gone()
+                a.follow(True)
+            await asked(stand, poll(7))
+            assert listener.bodies == [b"7"]
+            a.stop()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("raw", [b"\x00\xff", b"SMTP ready\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+                                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+                                 b"HTTP/1.1 503 Unavailable\r\nContent-Length: 1\r\n\r\n9"])  # fmt: skip
+def test_what_is_no_answer_is_named_and_asked_again(raw: bytes) -> None:
+    async def scene() -> None:
+        listener, said = Listed(), list[str]()
+        async with Stand() as stand:
+            a = agent(stand, listener)
+            a.said = said.append
+            a.start()
+            side = await asked(stand, poll(0))
+            side.say(raw)
+            if b"503" not in raw:
+                side = await stand.next()
+            assert await side.question() == poll(0)
+            assert said and not listener.bodies
+            a.stop()
+
+    play(scene)
+
+
+def test_an_answer_without_end_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        listener, said = Listed(), list[str]()
+        async with Stand() as stand:
+            a = agent(stand, listener)
+            a.said = said.append
+            a.start()
+            side = await asked(stand, poll(0))
+            side.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"10000\r\n" + b"7" * 65_536 + b"\r\n")
+            while not said:
+                side.say(b"10000\r\n" + b"7" * 65_536 + b"\r\n")
+                await asyncio.sleep(0)
+            assert "over" in said[0]
+            await asked(stand, poll(0))
+            a.stop()
+
+    play(scene)
--- /dev/null
+++ b/tests/test_crossings_call_answers.py
@@ -0,0 +1,137 @@
+"""Answers of the relay that come twice, in part, late, spoilt or not at all. Each order is forced."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from crossings import FOR_EVER, Stand, busy, play, turns, until
+from crossings_relay import Caller, called, taken
+
+from corallanding.relay.lines import LINE_MOST
+
+
+def test_two_answers_cost_the_next_call_nothing() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            c = Caller(stand.where)
+            c.order(1)
+            side = await stand.next()
+            first = await called(side, 1)
+            side.say(taken(first))
+            await until(lambda: c.stood)
+            c.order(2)
+            second = await called(side, 2)
+            side.say(taken(first))
+            await turns()
+            side.say(taken(second), taken(second))
+            await until(lambda: len(c.stood) == 2)
+            c.order(3)
+            side.say(taken(await called(side, 3)))
+            await until(lambda: len(c.stood) == 3)
+            assert c.calls.count["unknown"] == 0
+            c.link.close()
+
+    play(scene)
+
+
+def test_an_answer_in_pieces_is_one_and_half_an_answer_is_none() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            c = Caller(stand.where)
+            c.order(1)
+            side = await stand.next()
+            for byte in msgspec.json.encode(taken(await called(side, 1))) + b"\n":
+                side.say(bytes([byte]))
+                await turns(2)
+            await until(lambda: c.stood)
+            c.link.answer_within = 30.0
+            c.order(2)
+            side.say(msgspec.json.encode(taken(await called(side, 2)))[:-3])
+            again = await stand.next()
+            await side.gone()
+            c.link.answer_within = FOR_EVER
+            again.say(taken(await called(again, 2)))
+            await until(lambda: len(c.stood) == 2)
+            assert c.calls.count["unknown"] == 1
+            c.link.close()
+
+    play(scene)
+
+
+def test_an_answer_that_is_there_when_the_limit_passes_counts() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            c = Caller(stand.where, answer_within=60.0)
+            c.order(1)
+            side = await stand.next()
+            answer = msgspec.json.encode(taken(await called(side, 1))) + b"\n"
+            busy(lambda: side.now(answer), 0.1)
+            await until(lambda: c.stood)
+            assert c.calls.count["unknown"] == 0
+            c.link.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("how", ["closed after the answer", "closed as the call is written", "reset under the call"])
+def test_a_call_meets_a_connection_that_closes(how: str) -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            c = Caller(stand.where)
+            c.order(1)
+            side = await stand.next()
+            side.say(taken(await called(side, 1)))
+            await until(lambda: c.stood)
+            if how != "reset under the call":
+                side.close()
+            if how == "closed after the answer":
+                await until(lambda: c.link.conn is None)
+            c.order(2)
+            if how == "reset under the call":
+                await called(side, 2)
+                side.reset()
+            again = await stand.next()
+            again.say(taken(await called(again, 2)))
+            await until(lambda: len(c.stood) == 2)
+            assert c.calls.count["unknown"] == (0 if how == "closed after the answer" else 1)
+            c.link.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("raw", [
+    b"}\n", b"[1]\n", b"null\n", b'{"id":1}x\n', b"[" * 5_000 + b"\n", b'{"id":"1"}\n', b"\xff\n",
+    b'{"id":1,"result":{"taken":1.0}}\n', b'{"id":-4,"result":{"taken":1}}\n',
+])  # fmt: skip
+def test_what_is_no_answer_leaves_the_call_unknown_and_it_goes_again_once(raw: bytes) -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            c = Caller(stand.where)
+            c.order(1)
+            side = await stand.next()
+            await called(side, 1)
+            side.say(raw)
+            again = await stand.next()
+            again.say(taken(await called(again, 1)))
+            await until(lambda: c.stood)
+            assert c.calls.count["unknown"] == 1
+            c.link.close()
+
+    play(scene)
+
+
+def test_an_answer_without_end_ends_the_connection() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            c = Caller(stand.where)
+            c.order(1)
+            side = await stand.next()
+            await called(side, 1)
+            for _ in range(LINE_MOST // 65_536 + 1):
+                side.say(b"7" * 65_536)
+            again = await stand.next()
+            again.say(taken(await called(again, 1)))
+            await until(lambda: c.stood)
+            c.link.close()
+
+    play(scene)
--- /dev/null
+++ b/tests/test_crossings_calls.py
@@ -0,0 +1,184 @@
+"""What may come between two lines of the connection for calls: dials, moves, the end. Each order is forced."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import combinations
+
+import msgspec
+import pytest
+from crossings import Dials, Side, Stand, play, turns, until
+from crossings_relay import A, B, C, Caller, called, taken
+
+from corallanding import interface as api
+from corallanding.relay.calls import Calls
+
+
+@pytest.mark.parametrize("end", [Side.close, Side.reset])
+def test_a_connection_that_breaks_as_it_comes_up_is_not_kept_for_the_next_call(end: Callable[[Side], None]) -> None:
+    async def scene() -> None:
+        dials = Dials()
+        async with Stand() as stand:
+            c = Caller(stand.where)
+            dials.late(stand.where)
+            c.order(1)
+            side = await stand.next()
+            end(side)
+            await side.gone()
+            await turns()
+            dials.let(stand.where)
+            again = await stand.next()
+            again.say(taken(await called(again, 1)))
+            await until(lambda: c.stood)
+            c.link.close()
+
+    play(scene)
+
+
+def test_a_dial_that_comes_up_after_the_close_leaves_no_connection() -> None:
+    async def scene() -> None:
+        dials = Dials()
+        async with Stand() as stand:
+            c = Caller(stand.where)
+            dials.early(stand.where)
+            c.order(1)
+            await until(lambda: dials.count.get(stand.where))
+            c.link.close()
+            dials.let(stand.where)
+            await turns()
+            assert c.link.conn is None
+            for side in stand.sides:
+                await side.gone()
+
+    play(scene)
+
+
+def test_a_dial_of_the_old_address_is_not_waited_for_after_a_move() -> None:
+    async def scene() -> None:
+        dials = Dials()
+        async with Stand() as old, Stand() as new:
+            c = Caller(old.where)
+            dials.early(old.where)
+            c.order(1)
+            await until(lambda: dials.count.get(old.where))
+            c.link.move(new.where)
+            side = await new.next()
+            side.say(taken(await called(side, 1)))
+            await until(lambda: c.stood)
+            c.link.close()
+
+    play(scene)
+
+
+def test_a_call_in_flight_ends_at_the_old_address_and_the_next_goes_to_the_new_one() -> None:
+    async def scene() -> None:
+        async with Stand() as old, Stand() as new:
+            c = Caller(old.where)
+            c.order(1)
+            side = await old.next()
+            id = await called(side, 1)
+            c.link.move(new.where)
+            c.order(2)
+            await turns()
+            assert new.came.empty()
+            side.say(taken(id))
+            fresh = await new.next()
+            fresh.say(taken(await called(fresh, 2)))
+            await side.gone()
+            await until(lambda: len(c.stood) == 2)
+            c.link.close()
+
+    play(scene)
+
+
+def test_no_call_begins_after_the_last_one_which_is_whole() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            c = Caller(stand.where)
+            c.order(1)
+            side = await stand.next()
+            id = await called(side, 1)
+            c.order(2)
+            c.link.finish()
+            c.order(3)
+            assert not c.link.idle.is_set()
+            side.say(taken(id))
+            await c.link.idle.wait()
+            assert c.stood == [api.SetLine(1, A, 1.0)]
+            c.link.close()
+            assert await side.reader.read() == b"", "not a byte after it"
+
+    play(scene)
+
+
+def test_the_end_waits_for_a_call_no_longer_than_its_answer_may_take() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            c = Caller(stand.where, answer_within=30.0)
+            c.order(1)
+            await called(await stand.next(), 1)
+            c.link.finish()
+            await c.link.idle.wait()
+            c.link.close()
+
+    play(scene)
+
+
+class Story:
+    """A slice, as the relay has it and as the module believes it, around one call. fate: of that call. carried: whether
+    the relay carried it out; while the slice is elsewhere, its other steward moves it to C."""
+
+    def __init__(self, fate: str, carried: bool) -> None:
+        self.fate, self.carried = fate, carried
+        self.stored, self.ours, self.believed = {A}, True, {A}
+        self.calls = Calls(["lookup"])
+        self.order()
+
+    def order(self) -> None:
+        """To B alone, by what the module believes."""
+        if self.ours:
+            self.calls.order([api.SetLine(1, B, 1.0), *(api.SetLine(1, h, 0.0) for h in self.believed - {B})])
+            self.believed = {B}
+
+    def send(self, carried: bool) -> None:
+        call = self.calls.next(0.0)
+        for o in call.orders if call and carried and self.ours else []:
+            assert isinstance(o, api.SetLine)
+            (self.stored.add if o.weight else self.stored.discard)(o.host)
+
+    def end(self, fate: str) -> None:
+        if not (call := self.calls.flying):
+            return
+        said = {"error": {"message": "Throttling"}} if fate == "throttled" else {"result": {"taken": len(call.orders)}}
+        if fate == "unknown":
+            self.calls.unknown(0.0)
+        else:
+            self.calls.answered(0.0, msgspec.json.encode({"id": call.id, **said}))
+        self.calls.not_before = 0.0
+
+    def take_away(self) -> None:
+        self.ours, self.stored = False, {C}
+        self.calls.forget(1)
+
+    def give(self) -> None:
+        self.ours, self.believed = True, set(self.stored)
+
+    def go_on(self) -> None:
+        self.end("answered")
+        while self.calls.waiting:
+            self.send(True)
+            self.end("answered")
+
+
+@pytest.mark.parametrize(("fate", "carried"), [("answered", True), ("unknown", True), ("unknown", False),
+                                               ("throttled", False)])  # fmt: skip
+def test_a_slice_taken_away_and_given_back_around_a_call_in_every_order(fate: str, carried: bool) -> None:
+    """All interleavings of the call's life and the slice's: in the end the table is what the module believes."""
+    for places in combinations(range(5), 2):
+        story = Story(fate, carried)
+        call = [lambda s=story: s.send(carried), lambda s=story: s.end(fate), story.order]
+        charge = [story.take_away, story.give]
+        for place in range(5):
+            (charge if place in places else call).pop(0)()
+        story.go_on()
+        assert story.stored == story.believed, places
--- /dev/null
+++ b/tests/test_crossings_door.py
@@ -0,0 +1,201 @@
+"""What may come between two lines of the listening address, each order forced."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import pytest
+from crossings import Side, busy, play, turns, until
+from platform_front import host_report, intake, slice_report
+
+from corallanding.collector import door as at
+from corallanding.collector.core import REJECT, SIGN_OF_LIFE
+from corallanding.collector.door import Door
+from corallanding.resp import encode
+
+JOIN = encode(["telemetry", "locality", "a"])
+HB = encode(["hb"])
+Said = Callable[[Side], None]
+
+
+class Open:
+    """A door in this loop, and connections to it."""
+
+    def __init__(self, strangers: int = 16) -> None:
+        self.events: list[Any] = []
+        self.door = Door(("127.0.0.1", 0), intake({3}), strangers, self.events.extend, lambda text: None)
+
+    async def come(self, *said: bytes) -> Side:
+        side = Side(*await asyncio.open_connection(*self.door.listener.socket.getsockname()))
+        side.say(*said)
+        return side
+
+
+@contextlib.asynccontextmanager
+async def opened(**more: Any) -> AsyncIterator[Open]:
+    o = Open(**more)
+    try:
+        yield o
+    finally:
+        o.door.close()
+
+
+async def told(side: Side) -> bytes:
+    """All that comes to the end of the connection."""
+    return await side.reader.read()
+
+
+@pytest.fixture
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(at, "JOIN_WITHIN", at.JOIN_WITHIN / 20.0)
+
+
+def test_a_collector_whose_joining_waits_in_the_kernel_as_its_time_ends_is_taken(quick: None) -> None:
+    """The loop was busy for longer than a stranger has: a step on a small share of a core."""
+
+    async def scene() -> None:
+        async with opened() as o:
+            side = await o.come()
+            await until(lambda: o.door.strangers)
+            busy(lambda: side.now(JOIN, encode(host_report())), 0.1)
+            await until(lambda: o.events)
+            assert not o.door.ended and 0 in o.door.collectors
+            side.close()
+
+    play(scene)
+
+
+def test_a_stranger_that_says_nothing_half_or_asks_again_and_again_is_told_to_go(quick: None) -> None:
+    async def scene() -> None:
+        async with opened() as o:
+            o.door.open()
+            for said in (b"", HB[:5], JOIN[:9]):
+                assert await told(await o.come(said)) == REJECT
+            side = await o.come(HB)
+            for _ in range(3):
+                assert await side.reader.readexactly(len(SIGN_OF_LIFE)) == SIGN_OF_LIFE
+                side.say(HB)
+            assert (await told(side)).endswith(REJECT)
+
+    play(scene)
+
+
+def test_one_that_asked_before_the_steward_is_ready_is_answered_then_and_has_its_time_after(quick: None) -> None:
+    async def scene() -> None:
+        async with opened() as o:
+            side, mute = await o.come(HB), await o.come()
+            assert await told(mute) == REJECT
+            assert len(o.door.strangers) == 1
+            o.door.open()
+            assert await told(side) == SIGN_OF_LIFE + REJECT
+
+    play(scene)
+
+
+def test_hundreds_before_it_is_ready_cost_a_joining_collector_nothing(quick: None) -> None:
+    async def scene() -> None:
+        async with opened(strangers=8) as o:
+            collector = await o.come(JOIN)
+            await until(lambda: o.door.collectors.get(0))
+            flood = [await o.come(b"") for _ in range(300)]
+            late = await o.come(JOIN, encode(slice_report()))
+            await until(lambda: o.events)
+            for side in flood:
+                assert await told(side) == REJECT
+            collector.say(encode(slice_report()))
+            await until(lambda: len(o.events) == 2)
+            late.close()
+
+    play(scene)
+
+
+def test_messages_in_pieces_and_many_at_once_are_the_same() -> None:
+    async def scene() -> None:
+        async with opened() as o:
+            raw = JOIN + encode(host_report()) + encode(slice_report())
+            bytewise = await o.come()
+            for byte in raw:
+                bytewise.say(bytes([byte]))
+                await turns(1)
+            await until(lambda: len(o.events) == 2)
+            await o.come(raw + encode(slice_report()) * 200)
+            await until(lambda: len(o.events) == 2 + 2 + 200)
+            assert not o.door.ended and not o.door.intake.spoilt
+
+    play(scene)
+
+
+def test_one_that_sends_on_without_end_is_closed() -> None:
+    async def scene() -> None:
+        async with opened() as o:
+            side = await o.come(b"*1\r\n$9999\r\n")
+            with contextlib.suppress(ConnectionError):
+                while not side.writer.transport.is_closing():
+                    side.say(b"x" * 4_096)
+                    await asyncio.sleep(0)
+            await side.gone()
+            assert o.door.ended
+
+    play(scene)
+
+
+def test_a_stranger_that_closes_its_half_and_waits_is_closed() -> None:
+    async def scene() -> None:
+        async with opened() as o:
+            o.door.open()
+            side = await o.come(HB)
+            side.writer.write_eof()
+            assert await told(side) == SIGN_OF_LIFE
+            await until(lambda: not o.door.strangers)
+
+    play(scene)
+
+
+def test_a_collector_lost_in_the_middle_of_a_message_and_back_before_its_old_connection_is_seen_to_go() -> None:
+    async def scene() -> None:
+        async with opened() as o:
+            first = await o.come(JOIN, encode(host_report())[:-4])
+            await until(lambda: o.door.collectors.get(0))
+            second = await o.come(JOIN, encode(host_report()))
+            await until(lambda: len(o.events) == 1)
+            first.reset()
+            await until(lambda: len(o.door.collectors[0]) == 1)
+            second.say(encode(slice_report()))
+            await until(lambda: len(o.events) == 2)
+            piled = [await o.come(JOIN) for _ in range(6)]  # half-open ones: the oldest go, unspoken to
+            await second.gone()
+            await until(lambda: o.door.ended["a newer collector of its zone"] == 3)
+            assert len(o.door.collectors[0]) == 4 and len(piled) == 6
+
+    play(scene)
+
+
+def test_a_report_on_what_has_just_gone_costs_itself_alone() -> None:
+    async def scene() -> None:
+        async with opened() as o:
+            side = await o.come(JOIN, encode(slice_report(shard=4)), encode(host_report(endpoint="s-77")))
+            side.say(encode(slice_report()))
+            await until(lambda: o.events)
+            assert dict(o.door.intake.spoilt) == {"shard not in charge": 1, "endpoint unknown": 1}
+            assert not o.door.ended
+
+    play(scene)
+
+
+@pytest.mark.parametrize("raw", [
+    b"\x00", b"GET / HTTP/1.1\r\n\r\n", b"*0\r\n", b"*-1\r\n", b"*1\r\n$-1\r\n", b"*1\r\n:3\r\n", b"*99999999999\r\n",
+    b"*1\r\n$1048577\r\n", encode(["attach"]), encode(host_report()), encode(["telemetry", "locality", "z"]),
+    encode(["telemetry", "zone", "a"]), b"*1\r\n$2\r\n\xff\xfe\r\n", b"+OK\r\n", b"*1\r\n*1\r\n$1\r\na\r\n",
+])  # fmt: skip
+def test_what_no_collector_says_gets_the_word_and_a_close_and_disturbs_nobody(raw: bytes) -> None:
+    async def scene() -> None:
+        async with opened() as o:
+            collector = await o.come(JOIN)
+            assert await told(await o.come(raw)) == REJECT
+            collector.say(encode(slice_report()))
+            await until(lambda: o.events)
+
+    play(scene)
--- /dev/null
+++ b/tests/test_crossings_news.py
@@ -0,0 +1,234 @@
+"""What may come between two lines of the connection with news, each order forced."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from crossings import FOR_EVER, Dials, Side, Stand, play, turns, until
+from crossings_relay import PING, RESULT, Watcher, joined, standing, watched
+from platform_front import HOSTS, SETTINGS, ZONES, attach, entry, owner
+
+from corallanding import interface as api
+from corallanding.relay.news import BadNews, News
+
+
+@pytest.mark.parametrize("end", [Side.close, Side.reset])
+def test_news_that_break_as_they_come_up_are_asked_for_again_at_once(end: Callable[[Side], None]) -> None:
+    async def scene() -> None:
+        dials = Dials()
+        async with Stand() as stand:
+            w = Watcher(stand.where)
+            dials.late(stand.where)
+            w.link.start()
+            side = await stand.next()
+            end(side)
+            await side.gone()
+            await turns()
+            dials.let(stand.where)
+            await standing(w, stand, attach(3))
+            assert w.told() == [joined(3)]
+            w.link.close()
+
+    play(scene)
+
+
+def test_a_dial_of_news_that_comes_up_after_the_close_leaves_no_connection() -> None:
+    async def scene() -> None:
+        dials = Dials()
+        async with Stand() as stand:
+            w = Watcher(stand.where)
+            dials.early(stand.where)
+            w.link.start()
+            await until(lambda: dials.count.get(stand.where))
+            w.link.close()
+            dials.let(stand.where)
+            await turns()
+            assert w.link.coming is None
+            for side in stand.sides:
+                await side.gone()
+
+    play(scene)
+
+
+def test_a_dial_of_the_old_relay_is_not_waited_for_after_a_move() -> None:
+    async def scene() -> None:
+        dials = Dials()
+        async with Stand() as old, Stand() as new:
+            w = Watcher(old.where)
+            dials.early(old.where)
+            w.link.start()
+            await until(lambda: dials.count.get(old.where))
+            w.link.move(new.where)
+            await standing(w, new, attach(3))
+            dials.let(old.where)
+            await turns()
+            for side in old.sides:
+                await side.gone()
+            assert w.told() == [joined(3)]
+            w.link.close()
+
+    play(scene)
+
+
+def test_a_break_before_the_first_sign_of_life_tells_nothing_of_what_was_half_said() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            w = Watcher(stand.where)
+            w.link.start()
+            side = await watched(stand)
+            side.say(RESULT)
+            side.tell(attach(3), owner(2))
+            await until(lambda: w.link.coming and w.link.coming.standing and w.link.coming.standing.tables)
+            side.reset()
+            await standing(w, stand, attach(4))
+            assert w.told() == [joined(4)]
+            w.link.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("first", [[("tell", PING)], [("tell", PING), ("say", RESULT), ("say", RESULT)]])
+def test_a_sign_of_life_before_the_result_is_no_end_of_what_stands(first: list[tuple[str, Any]]) -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            w = Watcher(stand.where)
+            w.link.start()
+            side = await watched(stand)
+            for how, what in first:
+                getattr(side, how)(what)
+            await turns()
+            assert not w.link.settled_once and not w.events
+            side.say(RESULT)
+            side.tell(attach(3), PING)
+            await until(lambda: w.link.settled_once)
+            assert w.told() == [joined(3)]
+            w.link.close()
+
+    play(scene)
+
+
+def test_a_break_right_after_what_stands_is_bridged_by_the_difference() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            w = Watcher(stand.where)
+            w.link.start()
+            side = await standing(w, stand, attach(3), attach(4), owner(2), entry(2, 1))
+            side.reset()
+            await until(lambda: w.link.current is None)
+            w.told()
+            # 3 left and came back within the gap, 4 left for good, the slice's line changed.
+            await standing(w, stand, attach(3), owner(2), entry(2, 0))
+            assert w.told() == [api.ProxyLeft(4), api.SliceGiven(2, True), api.OnRecord(2, HOSTS[0], 1.0)]
+            assert w.gaps == 1
+            w.link.close()
+
+    play(scene)
+
+
+def test_a_slice_and_its_lines_in_different_reads_are_told_in_one_step_or_line_by_line() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            w = Watcher(stand.where, lines_after=FOR_EVER)
+            w.link.start()
+            side = await standing(w, stand, attach(3))
+            w.told()
+            side.tell(owner(2))
+            await until(lambda: w.news.giving)
+            side.tell(entry(2, 1))
+            await until(lambda: w.news.giving[2])
+            assert not w.events
+            w.link.given()
+            assert w.told() == [api.SliceGiven(2, True), api.OnRecord(2, HOSTS[1], 1.0)]
+            side.tell(entry(2, 0))
+            await until(lambda: w.events)
+            assert w.told() == [api.OnRecord(2, HOSTS[0], 1.0)]
+            w.link.close()
+
+    play(scene)
+
+
+def test_a_slice_is_told_though_lines_of_others_never_cease() -> None:
+    async def scene() -> None:
+        w, now, due = Watcher(("127.0.0.1", 1), lines_after=30.0), 0.0, list[float]()
+
+        class Timers:
+            def call_later(self, s: float, call: Callable[[], None]) -> asyncio.TimerHandle:
+                due.append(now + s * 1000.0)
+                return asyncio.get_running_loop().call_later(FOR_EVER, call)
+
+        w.link.clock, w.link.loop = lambda: now, Timers()  # type: ignore[assignment]
+        for _ in range(20):
+            w.link.lines_come()
+            now += 20.0
+        assert due[:3] == [30.0, 50.0, 70.0] and due[-1] == now - 20.0, "the last ones are due at once"
+        w.link.close()
+
+    play(scene)
+
+
+def test_of_two_relays_in_a_move_the_old_one_counts_until_the_new_one_knows_what_stands() -> None:
+    async def scene() -> None:
+        async with Stand() as old, Stand() as new:
+            w = Watcher(old.where)
+            w.link.start()
+            first = await standing(w, old, attach(3), owner(2), entry(2, 1))
+            w.told()
+            w.link.move(new.where)
+            second = await watched(new)
+            second.say(RESULT)
+            second.tell(attach(3), attach(5), owner(2), entry(2, 1))
+            first.tell(attach(4), owner(2, False))
+            await until(lambda: len(w.events) == 2)
+            assert w.told() == [joined(4), api.SliceGiven(2, False)], "the old one goes on"
+            second.tell(PING)
+            await until(lambda: w.link.current and w.link.current.where == new.where)
+            assert w.told() == [api.ProxyLeft(4), joined(5), api.SliceGiven(2, True), api.OnRecord(2, HOSTS[1], 1.0)]
+            first.tell(attach(6))  # it tells last, to nobody
+            await first.gone()
+            second.tell(attach(7))
+            await until(lambda: w.events)
+            assert w.told() == [joined(7)]
+            w.link.close()
+
+    play(scene)
+
+
+def test_a_relay_that_accepts_and_says_nothing_is_given_up_and_dialled_again() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            w = Watcher(stand.where, silence=40.0)
+            w.link.start()
+            mute = await watched(stand)
+            side = await watched(stand)
+            await mute.gone()
+            w.link.silence = FOR_EVER
+            side.say(RESULT)
+            side.tell(attach(3), PING)
+            await until(lambda: w.events)
+            w.link.close()
+
+    play(scene)
+
+
+@pytest.mark.parametrize("line", [b"[" * 5_000, b'{"method":"attach","params":' + b"[" * 5_000, b"{", b'{"method":7}',
+                                  b'{"method":"attach","params":[]}', b"\xff"])  # fmt: skip
+def test_a_line_of_news_that_cannot_be_read_is_named_and_costs_no_connection(line: bytes) -> None:
+    with pytest.raises(BadNews):
+        News(SETTINGS, ZONES).read(line)
+
+    async def scene() -> None:
+        async with Stand() as stand:
+            w = Watcher(stand.where)
+            w.link.start()
+            side = await standing(w, stand, attach(3))
+            w.told()
+            side.say(line + b"\n")
+            side.tell(attach(4))
+            await until(lambda: w.events)
+            assert w.told() == [joined(4)] and len(w.said) == 1 and len(stand.sides) == 1
+            w.link.close()
+
+    play(scene)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -40,7 +40,7 @@
 
 # The standard library, the four libraries of requirements.txt, and of the project what serves the platform.
 OWN = {"node", "relay", "collector", "discovery", "resp", "probe", "names", "simhost", "balance", "interface", "ranks"}
-OWN |= {"records"}
+OWN |= {"records", "dial", "unreadable"}
 SHARED = {"corallanding.steward.turns", "corallanding.steward.listen", "corallanding.roster.view"}
 
 
