Start and end of the platform's steward: signals and calls in every order

Seen by tests on the program before: a SIGHUP while the configuration was being read was ignored, the old addresses stayed for good; after SIGTERM a turn could begin a new call, a SIGHUP dialled, and a steward not yet ready could still say that it was; two moves within one dial of discovery and the relay left a connection to the first one; SIGINT in the first moments ended with a traceback.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -7,6 +7,7 @@
 import os
 import re
 import signal
+import socket
 import sys
 from collections import deque
 from collections.abc import Callable
@@ -190,6 +191,13 @@
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 
 
+def free() -> str:
+    """An address where nobody listens just now."""
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{s.getsockname()[1]}"
+
+
 class Process:
     """The steward as the platform starts it."""
 
--- /dev/null
+++ b/tests/test_crossings_start.py
@@ -0,0 +1,106 @@
+"""The start of the platform's steward, each order forced."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+
+import msgspec
+import pytest
+from crossings import Side, Stand, play, until
+from crossings_life import life, text
+from crossings_relay import PING, RESULT, taken
+from platform_front import attach, owner
+from platform_standins import Process, free
+from test_platform_state import TOP
+
+from corallanding.collector.core import REJECT, SIGN_OF_LIFE
+from corallanding.node import service as node
+from corallanding.resp import encode
+
+
+@pytest.mark.parametrize("resets", [1, 4])
+def test_a_relay_that_still_holds_a_dead_processs_connections_and_resets_new_ones_is_asked_until_it_takes_one(
+    tmp_path: Path, resets: int
+) -> None:
+    async def scene() -> None:
+        async with life(tmp_path) as it:
+            for _ in range(2 * resets):
+                (await it.relay.next()).reset()
+            answered = 0
+            while not it.service.door or not it.service.door.ready:
+                side = await it.relay.next()
+                said = await side.line()
+                if said["method"] == "relay.watch":
+                    side.say(RESULT)
+                    side.tell(attach(0), owner(2), PING)
+                    await until(lambda: it.service.door and it.service.door.ready)
+                else:
+                    answered += 1
+                    side.say(taken(said["id"], len(said["params"]["ops"])))
+
+    play(scene)
+
+
+def test_a_relay_that_says_nothing_keeps_signs_of_life_back_for_a_time_only(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(node, "READY_MOST", 0.05)
+
+    async def scene() -> None:
+        async with life(tmp_path) as it:
+            side = Side(*await asyncio.open_connection(*it.listens()))
+            side.say(encode(["hb"]))
+            assert await side.reader.readexactly(len(SIGN_OF_LIFE)) == SIGN_OF_LIFE
+            side.say(encode(["attach"]))
+            assert await side.reader.read() == REJECT
+
+    play(scene)
+
+
+class Reading(Process):
+    """A steward that reads its configuration from a pipe, as slowly as the test likes."""
+
+    async def begin(self) -> int:
+        """It has opened its configuration, and waits for it: the pipe."""
+        self.path.unlink()
+        os.mkfifo(self.path)
+        await self.start()
+        return await asyncio.to_thread(os.open, self.path, os.O_WRONLY)
+
+
+def test_a_new_configuration_told_while_the_old_one_is_read_is_followed(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with Stand() as relay, Stand() as agent, Stand() as new_relay, Stand() as new_agent:
+            steward = Reading({**TOP, "listen": "127.0.0.1:1"}, tmp_path / "config.json")
+            pipe = await steward.begin()
+            old = {**TOP, "listen": free(), "discovery": text(agent.where),
+                   "store": {"address": text(relay.where)}}  # fmt: skip
+            new = {**old, "discovery": text(new_agent.where), "store": {"address": text(new_relay.where)}}
+            (tmp_path / "new.json").write_bytes(msgspec.json.encode(new))
+            os.replace(tmp_path / "new.json", steward.path)
+            steward.signal(signal.SIGHUP)
+            os.write(pipe, msgspec.json.encode(old))
+            os.close(pipe)
+            assert "index=" in await (await new_agent.next()).question()
+            assert (await (await new_relay.next()).line())["method"] in ("relay.watch", "relay.apply")
+            steward.signal(signal.SIGTERM)
+            code, log = await steward.end()
+            assert code == 0 and "Traceback" not in log, log
+
+    play(scene)
+
+
+@pytest.mark.parametrize("sign", [signal.SIGTERM, signal.SIGINT])
+def test_told_to_end_before_it_has_read_its_configuration_it_ends_at_once(tmp_path: Path, sign: signal.Signals) -> None:
+    async def scene() -> None:
+        steward = Reading(dict(TOP), tmp_path / "config.json")
+        pipe = await steward.begin()
+        steward.signal(sign)
+        code, log = await steward.end()
+        os.close(pipe)
+        assert code == -sign and log == ""
+
+    play(scene)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
@@ -14,18 +13,12 @@
 
 import pytest
 from platform_front import slice_report
-from platform_standins import LONG, Agent, Hosts, Process, Relay, until
+from platform_standins import LONG, Agent, Hosts, Process, Relay, free, until
 from test_platform_state import TOP, row
 
 from corallanding.resp import encode
 
 
-def free() -> str:
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{s.getsockname()[1]}"
-
-
 class Day:
     def __init__(self, relay: Relay, agent: Agent, hosts: Hosts, dial: str, steward: Process) -> None:
         self.relay, self.agent, self.hosts, self.dial, self.steward = relay, agent, hosts, dial, steward
