--- a/corallanding/node/config.py
+++ b/corallanding/node/config.py
@@ -13,7 +13,8 @@
 from .. import interface as api
 from ..collector.core import Places
 from ..discovery.core import Answer
-from ..simhost.fields import Malformed, ms
+from ..simhost.fields import Malformed
+from ..simhost.settings import above_0, ms
 from ..simhost.settings import settings as settings_of
 from ..unreadable import UNREADABLE
 
@@ -135,7 +136,7 @@
     flat = flatten(top.settings)
     try:
         settings = settings_of(flat)
-        dial_timeout = ms(flat, "limits.dialTimeout", 300.0)
+        dial_timeout = above_0(ms, flat, "limits.dialTimeout", 300.0)
     except Malformed as fault:
         raise BadConfig(f"settings: {fault}") from None
     try:
--- a/corallanding/simhost/settings.py
+++ b/corallanding/simhost/settings.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from .. import interface as api
-from .fields import Fields, Malformed, count, flag, ms, number, whole
+from .fields import Fields, Malformed, count, flag, whole
+from .fields import ms as any_ms
+from .fields import number as any_number
 
 REPEATS = {
     "repeatable": api.Repeat.IDEMPOTENT,
@@ -12,6 +16,25 @@
 }
 
 
+def number(f: Fields, key: str, default: float) -> float:
+    """Raises Malformed below 0, as do all that follow."""
+    if (value := any_number(f, key, default)) < 0.0:
+        raise Malformed(f"{key}={f[key]!r} is below 0")
+    return value
+
+
+def ms(f: Fields, key: str, default: float = 0.0) -> float:
+    number(f, key, default)
+    return any_ms(f, key, default)
+
+
+def above_0(read: Callable[[Fields, str, float], float], f: Fields, key: str, default: float) -> float:
+    """What is divided by, or waited for again and again. Raises Malformed at 0 too."""
+    if (value := read(f, key, default)) <= 0.0:
+        raise Malformed(f"{key}={f[key]!r} is not above 0")
+    return value
+
+
 def settings(f: Fields) -> api.Settings:
     writes = f.get("familyInfo.writeClasses", "").split(",")
     bound = f.get("familyInfo.zoneBound", "").split(",")
@@ -29,8 +52,8 @@
                 window=ms(f, at + "window"),
                 billed_value=number(f, at + "worth", 1.0),
                 late_value=number(f, at + "lateWorth", 0.0),
-                latency_objective=ms(f, at + "aim", 1000.0),
-                integration_timeout=ms(f, at + "giveUp", 5000.0),
+                latency_objective=above_0(ms, f, at + "aim", 1000.0),
+                integration_timeout=above_0(ms, f, at + "giveUp", 5000.0),
                 writes=writes[k : k + 1] == ["true"],
                 zone_bound=bound[k : k + 1] == ["true"],
             )
@@ -63,15 +86,15 @@
         cold_from=number(f, "rules.coldFrom", usual.cold_from),
         fall=ms(f, "rules.fall", usual.fall),
         fall_multiple=number(f, "rules.fallMultiple", usual.fall_multiple),
-        channel_rate=number(f, fam + "channelRate", usual.channel_rate),
+        channel_rate=above_0(number, f, fam + "channelRate", usual.channel_rate),
         message_head=number(f, fam + "perMessage", usual.message_head),
-        queue_most=number(f, fam + "mostWaiting", usual.queue_most),
+        queue_most=above_0(number, f, fam + "mostWaiting", usual.queue_most),
         messages_most=count(f, fam + "pushesAllowed"),
         messages_span=ms(f, fam + "messagesOver", usual.messages_span),
         transit=ms(f, fam + "propagation", usual.transit),
         transit_most=ms(f, fam + "worstTransit", usual.transit_most),
-        report_every=ms(f, fam + "reportEvery", usual.report_every),
-        reports_per_s=number(f, fam + "intakePerS", usual.reports_per_s),
+        report_every=above_0(ms, f, fam + "reportEvery", usual.report_every),
+        reports_per_s=above_0(number, f, fam + "intakePerS", usual.reports_per_s),
         may_probe=flag(f, "limits.mayProbe"),
         warm_keys=flag(f, fam + "warmKeys"),
         probe_price=number(f, "prices.probe", 0.0),
--- /dev/null
+++ b/tests/test_settings_any.py
@@ -0,0 +1,126 @@
+"""The settings of any customer: the platform's front starts or refuses in one line, and a short day breaks no bound."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_platform_state import SETTINGS, TOP
+
+from corallanding import interface as api
+from corallanding.balance import Assigner
+from corallanding.collector.core import Intake
+from corallanding.names import number
+from corallanding.node.config import BadConfig, Config, parse
+from corallanding.relay.calls import Calls, Channel
+from corallanding.relay.news import News
+from corallanding.steward.turns import Turns
+
+NAMES = st.text(st.characters(exclude_categories=("Cs",)), min_size=1, max_size=12)
+AMOUNT = st.sampled_from([0, 1, 0.5, 700, 250_000, 1_200_000, 60_000_000, 1e12, -1, "12", "x", None, True, [], {}])
+OPERATION = st.fixed_dictionaries(
+    {"name": NAMES, "idempotency": st.sampled_from(["repeatable", "by_key", "once", "now and then"])},
+    optional={"window": AMOUNT, "group": NAMES, "aim": AMOUNT, "giveUp": AMOUNT, "worth": AMOUNT, "lateWorth": AMOUNT},
+)
+FAMILY = """proxies keyRanges
+lease inFlightMax baseMode tryAims blackhole channelRate perMessage mostWaiting pushesAllowed
+messagesOver propagation worstTransit reportEvery intakePerS pushPrice reassignPrice ejects""".split()
+RULES = ("askWithin", "drainGrace", "cold", "coldFrom", "fall", "fallMultiple", "drainBindsAlone")
+ANY = st.fixed_dictionaries(
+    {
+        "zones": st.lists(NAMES, max_size=4, unique=True),
+        "kinds": st.lists(NAMES, max_size=3, unique=True),
+        "classes": st.lists(OPERATION, max_size=9),
+        "familyInfo": st.fixed_dictionaries({}, optional={key: AMOUNT for key in FAMILY}),
+        "rules": st.fixed_dictionaries({}, optional={key: AMOUNT for key in RULES}),
+    },
+    optional={
+        "zone": AMOUNT, "balancers": AMOUNT, "me": AMOUNT, "period": AMOUNT, "weights": NAMES,
+        "discovery": st.sampled_from(["pushed", "on_request", 3]), "prices": st.just({"probe": 0}),
+        "limits": st.fixed_dictionaries({}, optional={"mayProbe": st.booleans(), "dialTimeout": AMOUNT}),
+        "loadReport": st.just({"fields": ["rif", "busy"]}),
+    },
+)  # fmt: skip
+
+
+def read(given_settings: Any) -> Config | None:
+    try:
+        return parse(msgspec.json.encode({**TOP, "known": None, "settings": given_settings}))
+    except BadConfig as fault:
+        assert "\n" not in str(fault) and "settings" in str(fault), fault
+        return None
+
+
+def play(c: Config) -> None:
+    """Hosts come, drain, fail and go; proxies join and leave; slices are given; acks come or do not."""
+    s = c.settings
+    news = News(s, c.places.zones)
+    intake = Intake(s, c.places, set(), news.tables)
+    channel = Channel(s.queue_most, s.channel_rate, s.message_head, lambda: len(news.proxies))
+    calls = Calls(list(c.places.operations), s.messages_most, s.messages_span, channel)
+    assert c.dial_timeout > 0.0 and math.isfinite(intake.slowest) and intake.span_most > 0
+    turns, now, sent = Turns(Assigner(s, c.seed)), 1e9, list[float]()
+    hosts = [number(f"h{n}") for n in range(4)]
+    entries = [api.HostEntry(h, n % max(1, s.zones), 0, n) for n, h in enumerate(hosts)]
+
+    def turn(*events: api.Event) -> None:
+        nonlocal now
+        now += max(1.0, s.period)
+        for e in events:
+            turns.event(now, e)
+        turns.fall_due(now)
+        for a in turns.deliver(now, turns.collect()):
+            match a:
+                case api.Remind():
+                    assert math.isfinite(a.after)
+                    turns.remind(now + max(a.after, 1.0), a.handle)
+                case api.SetLine() | api.Level() | api.Cordon() | api.ResetTable() | api.Mark():
+                    calls.order([a])
+                case api.Probe():
+                    turns.event(now, api.ProbeDone(a.host, api.ProbeEnd.TIMEOUT, 100.0))
+        for _ in range(3):
+            if (call := calls.next(now)) is None:
+                break
+            sent.append(now)
+            recent = [at for at in sent if at > now - s.messages_span]
+            assert not s.messages_most or len(recent) <= s.messages_most
+            answer = {"id": call.id, "result": {"taken": len(call.orders)}}
+            for o in calls.answered(now, msgspec.json.encode(answer)) or []:
+                if isinstance(o, api.Mark) and o.number % 2:
+                    turns.event(now, api.Acked(0, o.number, 5.0))
+
+    proxies = range(min(s.proxies, 3))
+    slices = range(min(s.slices, 4))
+    turn(api.Membership(api.ListForm.SAVED, 1, tuple(entries[:2])))
+    turn(*(api.ProxyJoined(p, 0, 2.5, True) for p in proxies), *(api.SliceGiven(n, True) for n in slices))
+    turn(api.Membership(api.ListForm.FULL, 2, tuple(entries)))
+    for k in range(len(s.operations)):
+        turn(*(api.SliceSums(n, k, 50, 10, max(1.0, s.report_every)) for n in slices))
+    turn(api.HostSums(0, hosts[0], 90, 90, 0.0, max(1.0, s.report_every), {}))
+    turn(api.Membership(api.ListForm.CHANGES, 3, (api.HostEntry(hosts[1], state="draining"),)))
+    turn(api.Membership(api.ListForm.FAILED, 3))
+    turn(*(api.ProxyLeft(p) for p in proxies), *(api.SliceGiven(n, False) for n in slices))
+    turn(api.Membership(api.ListForm.FULL, 4, ()))
+    for _ in range(6):
+        turn()
+
+
+@settings(max_examples=300, deadline=None)
+@given(ANY)
+def test_any_settings_are_refused_in_one_line_or_carry_a_short_day(given_settings: Any) -> None:
+    if c := read(given_settings):
+        play(c)
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(NAMES, min_size=1, max_size=9, unique=True), st.lists(NAMES, min_size=1, max_size=3, unique=True))
+def test_operations_and_zones_of_any_names_and_number_are_served(operations: list[str], zones: list[str]) -> None:
+    named = {**SETTINGS, "zones": zones, "kinds": ["m2"],
+             "classes": [{**SETTINGS["classes"][0], "name": name} for name in operations]}  # fmt: skip
+    c = read(named)
+    assert c and len(c.settings.operations) == len(operations) and c.settings.zones == len(zones)
+    assert list(c.places.operations) == operations and list(c.places.zones) == zones
+    play(c)
--- /dev/null
+++ b/tests/test_sites.py
@@ -0,0 +1,80 @@
+"""The script that makes other customers' sites, on a small kit of the test's own."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+SCRIPT = Path(__file__).parent.parent / "deploy" / "sites" / "make.py"
+SITE = """
+name = "yards"
+[net]
+zones = ["a", "b"]
+[[tier]]
+name = "t"
+[[tier.kind]]
+cold_s = [1, 2]
+[[class]]
+name = "one"
+share = 0.5
+effect = "unsafe"
+"""
+
+
+def make(tmp_path: Path, *lists: str) -> tuple[int, str, Path]:
+    kit, out = tmp_path / "kit", tmp_path / "out"
+    kit.mkdir()
+    (kit / "yards.toml").write_text(SITE)
+    for name in ("real.json", "wire.json", "unlock.txt"):
+        (kit / name).write_text(name)
+    paths = []
+    for n, text in enumerate(lists):
+        paths.append(tmp_path / f"other-{n}.toml")
+        paths[-1].write_text(text)
+    done = subprocess.run(
+        [sys.executable, SCRIPT, kit / "yards.toml", *paths, "--out", out], capture_output=True, text=True, timeout=60
+    )
+    return done.returncode, done.stderr, out
+
+
+def test_a_folder_has_the_changed_site_and_what_stands_beside_it(tmp_path: Path) -> None:
+    code, said, out = make(tmp_path, """
+[change]
+"net.zones" = ["only"]
+"class.0.name" = "A/b.c-d"
+"tier.0.kind.0.cold_s" = 9
+[[add.class]]
+like = 0
+name = "two"
+effect = "keyed"
+new = { window_ms = 700 }
+""", "[change]\n'class.0.share' = 3\n")  # fmt: skip
+    assert code == 0, said
+    folder = out / "other-0"
+    assert {p.name for p in folder.iterdir()} == {"other-0.toml", "real.json", "wire.json", "unlock.txt"}
+    site = tomllib.loads((folder / "other-0.toml").read_text())
+    assert site["name"] == "other-0" and site["net"] == {"zones": ["only"]}
+    assert site["tier"] == [{"name": "t", "kind": [{"cold_s": 9}]}]
+    assert site["class"] == [
+        {"name": "A/b.c-d", "share": 0.5, "effect": "unsafe"},
+        {"name": "two", "share": 0.5, "effect": "keyed", "window_ms": 700},
+    ]
+    assert tomllib.loads((out / "other-1" / "other-1.toml").read_text())["class"][0]["share"] == 3
+
+
+@pytest.mark.parametrize(("text", "names"), [
+    ("[change]\n'class.0.shares' = 1", "class.0.shares"), ("[change]\n'class.1.share' = 1", "class.1.share"),
+    ("[change]\n'klass.0.share' = 1", "klass.0.share"), ("[change]\n'class.x.share' = 1", "class.x.share"),
+    ("[change]\n'net.zones.a.b' = 1", "net.zones.a.b"), ("[change]\n'class.0.share' = 0.5", "is 0.5 already"),
+    ("[[add.class]]\nlike = 4", "like 4"),
+    ("[[add.klass]]\nlike = 0", "klass"), ("[[add.class]]\nname = 'x'", "like None"),
+    ("[[add.class]]\nlike = 0\nshares = 1", "class.shares"), ("[changes]", "changes"), ("[change", "other-1.toml"),
+])  # fmt: skip
+def test_a_change_of_no_key_is_refused_by_name_and_nothing_is_written(tmp_path: Path, text: str, names: str) -> None:
+    code, said, out = make(tmp_path, "[change]\n'class.0.share' = 3\n", text)
+    assert code == 2 and names in said and "other-1.toml" in said and said.count("\n") == 1, said
+    assert not out.exists()
