--- a/tests/test_crossings_life.py
+++ b/tests/test_crossings_life.py
@@ -28,8 +28,10 @@
             await it.news.gone()
             await it.poll.gone()
             moved(it, other, other)
+            due = it.service.due_at
             it.service.tell([api.ProxyLeft(0)])
             await turns()
+            assert it.service.due_at == due
             assert not it.running.done(), "the call in flight may end"
             it.call.say(taken(said["id"], len(said["params"]["ops"])))
             await it.running
