Dials wait longer after one that came too late; a busy loop takes no relay for silent

By reading: a dial had 300 or 400 ms each time, so that an address whose connections come up later than that was never reached; its time doubles now up to four times, until one stands. News were taken for silent where a read of something else had held the loop up while pings waited in the kernel: the look is a turn later now (the test fails on the program before). Discovery is asked with host and port in Host, as HTTP/1.1 wants for a port of its own.

--- a/corallanding/dial.py
+++ b/corallanding/dial.py
@@ -14,6 +14,7 @@
 
 Address = tuple[str, int]
 GRACE = 0.005  # s
+LATE = 4.0
 
 
 class Dialled(asyncio.Protocol):
@@ -66,7 +67,12 @@
 
 class Dialer(Generic[C]):
     """Dials one address at a time. make: a connection to be. adopt: takes one that stands. failed: told why a dial came
-    to nothing. One of the two comes for every dial that is not cancelled. within: ms a dial may take."""
+    to nothing. One of the two comes for every dial that is not cancelled.
+
+    within: ms a dial may take. Doubled after each that took longer, up to LATE times, until one stands: guards against
+    an address whose connections come up later than that every time, and never would. Where connections do not come up
+    at all, a dial that would is begun up to that much later.
+    """
 
     def __init__(
         self, make: Callable[[Address], C], adopt: Callable[[C], None], failed: Callable[[str], None], within: float
@@ -76,6 +82,7 @@
         self.coming: C | None = None
         self.task: asyncio.Task[None] | None = None
         self.limit: Limit | None = None
+        self.patience = 1.0
 
     @property
     def busy(self) -> bool:
@@ -86,7 +93,7 @@
         self.cancel()
         conn = self.coming = self.make(where)
         conn.stands = self.stands
-        self.limit = Limit(self.loop, self.within, self.late)
+        self.limit = Limit(self.loop, self.within * self.patience, self.late)
         self.task = self.loop.create_task(self.connect(conn))
         self.task.add_done_callback(partial(self.over, conn))
 
@@ -100,6 +107,7 @@
         # From here on it is not cancelled, though its task may have some turns to go: uvloop would close the connection
         # and tell nobody.
         self.done()
+        self.patience = 1.0
         self.adopt(conn)
 
     def over(self, conn: C, task: asyncio.Task[None]) -> None:
@@ -109,6 +117,7 @@
 
     def late(self) -> None:
         self.cancel()
+        self.patience = min(LATE, self.patience * 2.0)
         self.failed("no connection in time")
 
     def cancel(self) -> None:
--- a/corallanding/discovery/conversation.py
+++ b/corallanding/discovery/conversation.py
@@ -21,6 +21,8 @@
     ) -> None:
         super().__init__(where, lost)
         self.answered = answered
+        host, port = where
+        self.host = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
         self.asking = self.whole = False  # a question is open; its answer is there to the end
         self.keep = True
         self.until_close = False
@@ -30,7 +32,7 @@
     def ask(self, path: str) -> None:
         self.asking = True
         self.body.clear()
-        self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {self.where[0]}\r\n\r\n".encode())
+        self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {self.host}\r\n\r\n".encode())
 
     def on_message_begin(self) -> None:
         if not self.asking or self.whole:
--- a/corallanding/relay/news_link.py
+++ b/corallanding/relay/news_link.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from .. import interface as api
-from ..dial import Address, Dialer
+from ..dial import Address, Dialer, Limit
 from .lines import Lines
 from .news import BadNews, News, Standing, TableOrder
 
@@ -45,7 +45,7 @@
         self.dialer = Dialer(lambda at: Session(at, self.heard, self.over), self.adopted, self.unreached, dial_within)
         self.current: Session | None = None  # whose news counts
         self.coming: Session | None = None  # that will take its place
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Limit | None = None
         self.again: asyncio.TimerHandle | None = None  # for the next dial
         self.lines: asyncio.TimerHandle | None = None
         self.lines_since = 0.0
@@ -66,7 +66,7 @@
                 session.drop()
                 self.over(session)
         self.dial()
-        self.timer = self.loop.call_later(self.silence / 4000.0, self.watch)
+        self.timer = Limit(self.loop, self.silence / 4.0, self.watch)
 
     def dial(self) -> None:
         """A new connection, if one is wanted and none is on its way."""
--- a/tests/test_crossings_dial.py
+++ b/tests/test_crossings_dial.py
@@ -112,6 +112,27 @@
     play(scene)
 
 
+def test_an_address_whose_connections_come_up_later_than_the_limit_is_reached_in_the_end() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            loop: Any = asyncio.get_running_loop()
+            real = loop.create_connection
+
+            async def slow(*what: Any) -> Any:
+                await asyncio.sleep(0.06)
+                return await real(*what)
+
+            loop.create_connection = slow
+            o = Owner(within=25.0)
+            o.dialer.failed = lambda why: (o.failures.append(why), o.dialer.dial(stand.where))
+            o.dialer.dial(stand.where)
+            await o.has(1)
+            assert o.failures == ["no connection in time"] * 2 and o.dialer.patience == 1.0
+            loop.create_connection = real
+
+    play(scene)
+
+
 def test_a_connection_that_is_up_when_its_limit_passes_is_adopted() -> None:
     async def scene() -> None:
         async with Stand() as stand:
--- a/tests/test_crossings_news.py
+++ b/tests/test_crossings_news.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from crossings import FOR_EVER, Dials, Side, Stand, play, turns, until
+from crossings import FOR_EVER, Dials, Side, Stand, busy, play, turns, until
 from crossings_relay import PING, RESULT, Watcher, joined, standing, watched
 from platform_front import HOSTS, SETTINGS, ZONES, attach, entry, owner
 
@@ -213,6 +213,22 @@
     play(scene)
 
 
+def test_a_relay_whose_word_waits_in_the_kernel_as_its_silence_ends_is_not_given_up() -> None:
+    async def scene() -> None:
+        async with Stand() as stand:
+            w = Watcher(stand.where, silence=80.0)
+            w.link.start()
+            side = await standing(w, stand, attach(3))
+            assert w.link.current
+            first = w.link.current.at
+            busy(lambda: side.now(b'{"method":"ping"}\n'), 0.2)
+            await until(lambda: w.link.current is None or w.link.current.at > first)
+            assert w.link.current and not w.said
+            w.link.close()
+
+    play(scene)
+
+
 @pytest.mark.parametrize("line", [b"[" * 5_000, b'{"method":"attach","params":' + b"[" * 5_000, b"{", b'{"method":7}',
                                   b'{"method":"attach","params":[]}', b"\xff"])  # fmt: skip
 def test_a_line_of_news_that_cannot_be_read_is_named_and_costs_no_connection(line: bytes) -> None:
