One that waits for a sign of life is turned away last in a flood of strangers

By reading: before the steward is ready, one that had asked for a sign of life stayed, but as the oldest stranger it was the first to go once more strangers came than there is room for, and never heard that the steward was ready. Now those that ask for nothing go first.

--- a/corallanding/collector/door.py
+++ b/corallanding/collector/door.py
@@ -98,7 +98,8 @@
     def came(self, link: Link) -> None:
         self.strangers[link] = None
         while len(self.strangers) > self.strangers_most:
-            oldest = next(iter(self.strangers))
+            # One that asked for a sign of life before there is one may be who waits for this steward: it goes last.
+            oldest = next((link for link in self.strangers if not link.owed), next(iter(self.strangers)))
             del self.strangers[oldest]
             oldest.end("more strangers than there is room for", REJECT)
 
--- a/tests/test_crossings_door.py
+++ b/tests/test_crossings_door.py
@@ -112,6 +112,20 @@
     play(scene)
 
 
+def test_hundreds_before_it_is_ready_do_not_turn_away_who_waits_for_it() -> None:
+    async def scene() -> None:
+        async with opened(strangers=8) as o:
+            waits = await o.come(HB)
+            await until(lambda: any(link.owed for link in o.door.strangers))
+            flood = [await o.come(b"") for _ in range(100)]
+            await until(lambda: sum(o.door.ended.values()) == 93)
+            o.door.open()
+            assert await waits.reader.readexactly(len(SIGN_OF_LIFE)) == SIGN_OF_LIFE
+            assert len(flood) == 100
+
+    play(scene)
+
+
 def test_messages_in_pieces_and_many_at_once_are_the_same() -> None:
     async def scene() -> None:
         async with opened() as o:
