An agent that answers at once with nothing new is asked at a pace

By reading: a poll that came back before its wait was over, with the version that was held, was asked again at once, as fast as the processor allows. News is no reason to rest. The test counts the time of five such answers.

--- a/corallanding/discovery/agent.py
+++ b/corallanding/discovery/agent.py
@@ -9,6 +9,8 @@
 from ..dial import Address, Dialer, Limit
 from .conversation import Conversation
 
+SOON = 0.02  # s: within the time that a watch continues
+
 
 class Listener(Protocol):
     """What the agent's answers come to."""
@@ -41,6 +43,7 @@
         self.following, self.fetching = not on_request, False
         self.conn: Conversation | None = None
         self.asking_whole = False  # of the question that is open
+        self.asked_at, self.asked_version = 0.0, 0
         self.limit: Limit | None = None  # of that question
         self.rest: asyncio.TimerHandle | None = None  # after a failure
         self.again = 0.0  # how long the next one would be
@@ -71,6 +74,7 @@
 
     def ask(self, conn: Conversation) -> None:
         self.polls += 1
+        self.asked_at, self.asked_version = self.loop.time(), self.listener.version
         path = f"/v1/servers?index={self.listener.version}&wait={self.wait:.0f}"
         conn.ask("/v1/servers" if self.asking_whole else path)
         limit = self.late + (0.0 if self.asking_whole else self.wait)
@@ -114,6 +118,9 @@
         else:
             self.again = 0.0
             self.done()
+            if self.listener.version == self.asked_version and self.loop.time() - self.asked_at < self.wait / 2_000.0:
+                # Nothing new, and its wait is not over: an agent that does not wait would be asked without end.
+                self.rest = self.loop.call_later(SOON, self.rested)
             self.kick()
 
     def done(self) -> None:
--- a/tests/test_crossings_answers.py
+++ b/tests/test_crossings_answers.py
@@ -149,6 +149,26 @@
     play(scene)
 
 
+def test_an_agent_that_does_not_wait_is_asked_at_a_pace() -> None:
+    async def scene() -> None:
+        listener = Listed()
+        async with Stand() as stand:
+            a = agent(stand, listener)
+            a.start()
+            side = await asked(stand, poll(0))
+            begun = asyncio.get_running_loop().time()
+            for _ in range(5):
+                side.answer(b"0")
+                assert await side.question() == poll(0)
+            assert asyncio.get_running_loop().time() - begun >= 5 * 0.02
+            side.answer(b"1")  # news is no reason to rest
+            await until(lambda: listener.version == 1)
+            assert a.rest is None
+            a.stop()
+
+    play(scene)
+
+
 def test_an_answer_without_end_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         listener, said = Listed(), list[str]()
