A pause after a failure replaces one that runs

Reread: a dial that failed while a pause ran set a second timer beside it; harmless, as both only ask, but the first one cut the second short. One place sets it now.

--- a/corallanding/discovery/agent.py
+++ b/corallanding/discovery/agent.py
@@ -120,7 +120,7 @@
             self.done()
             if self.listener.version == self.asked_version and self.loop.time() - self.asked_at < self.wait / 2_000.0:
                 # Nothing new, and its wait is not over: an agent that does not wait would be asked without end.
-                self.rest = self.loop.call_later(SOON, self.rested)
+                self.pause(SOON)
             self.kick()
 
     def done(self) -> None:
@@ -132,7 +132,7 @@
         """A question came to nothing, or none could be asked."""
         self.fetching = self.fetching or (self.limit is not None and self.asking_whole)
         self.done()
-        self.rest = self.loop.call_later(self.again / 1000.0, self.rested)
+        self.pause(self.again / 1000.0)
         self.again = min(self.again_most, max(20.0, self.again * 2.0))
         self.said(f"discovery: {why}")
         if self.on_request:
@@ -140,6 +140,11 @@
             self.following = self.fetching = False
             self.listener.unlisted(why)
 
+    def pause(self, s: float) -> None:
+        if self.rest:
+            self.rest.cancel()
+        self.rest = self.loop.call_later(s, self.rested)
+
     def rested(self) -> None:
         self.rest = None
         self.kick()
