The channel's queue counts a call from when it became a message at the latest

At fault: relay/calls.py, next, and relay/channel.py: lines were counted as leaving from the instant of the sending, and the next call went when they had. Now only what was held before drains while a call is on its way; its own lines do so from its end, or from 50 ms after its sending where nobody knows its fate. The drawn test of calls that take any time fails without it: "assert 30019.99998 <= (30000.0 + 1e-06)".

--- a/corallanding/relay/calls.py
+++ b/corallanding/relay/calls.py
@@ -121,7 +121,7 @@
         head = b'{"jsonrpc":"2.0","id":%d,"method":"relay.apply","params":{"ops":[' % self.counter
         self.flying = Call(self.counter, head + b",".join(raw) + b"]}}\n", orders)
         self.sent.append(now)
-        self.channel.held = self.channel.left(now) + self.channel.cost(len(orders))
+        self.channel.begin(now, len(orders))
         self.count["calls"] += 1
         return self.flying
 
@@ -145,7 +145,7 @@
         taken = answer.result.get("taken") if isinstance(answer.result, dict) else None
         if not isinstance(taken, int) or isinstance(taken, bool) or not 0 <= taken <= len(call.orders):
             return None
-        self.sent[-1] = now
+        self.ended(now)
         self.flying, self.failed, self.not_before, self.doubted = None, 0, 0.0, None
         if taken < len(call.orders):
             fault = call.orders[taken]
@@ -161,23 +161,28 @@
         assert call
         if "Throttling" in said:
             self.count["turned away"] += 1
-            self.unsaid(call)
+            self.unsaid(now)
             self.flying = None
             self.put_back(call.valid(call.orders))
             self.back_off(now)
             return []
         if "ValidationError" in said:
             self.count["refused"] += 1
-            self.unsaid(call)
+            self.unsaid(now)
             self.said.append(f"the relay calls this no call, it is dropped: {call.line[:300]!r}")
             self.flying = None
             return []
         return None
 
-    def unsaid(self, call: Call) -> None:
+    def ended(self, at: float) -> None:
+        """The call in flight became a message by then, if it ever does."""
+        self.sent[-1] = at
+        self.channel.end(at)
+
+    def unsaid(self, now: float) -> None:
         """It became no message."""
         self.sent.pop()
-        self.channel.held = max(0.0, self.channel.held - self.channel.cost(len(call.orders)))
+        self.channel.end(now, False)
 
     def unknown(self, now: float) -> None:
         """No answer, a break, an unreadable one: carried out, or not at all. It goes again, with what waits."""
@@ -185,7 +190,7 @@
         if call is None:
             return
         self.count["unknown"] += 1
-        self.sent[-1] = max(now, self.sent[-1] + ANSWER_MOST)
+        self.ended(max(now, self.sent[-1] + ANSWER_MOST))
         self.flying, self.doubted = None, call
         self.put_back(call.valid(call.orders))
         if self.failed:
--- a/corallanding/relay/channel.py
+++ b/corallanding/relay/channel.py
@@ -20,6 +20,9 @@
     proxies: Callable[[], int] = lambda: 0
     held: float = 0.0
     counted: float = 0.0
+    before: float = 0.0  # what was held as the last call went out, when that was, and what the call costs
+    began: float = 0.0
+    coming: float = 0.0
 
     def cost(self, orders: int) -> float:
         return (orders + self.head) * self.proxies()
@@ -29,6 +32,17 @@
         self.counted = now
         return self.held
 
+    def begin(self, now: float, orders: int) -> None:
+        """A call goes out: it may be in the channel from now on."""
+        self.before, self.began, self.coming = self.left(now), now, self.cost(orders)
+        self.held = self.before + self.coming
+
+    def end(self, at: float, carried_out: bool = True) -> None:
+        """The call became a message by `at`, or never. Until then only what was held before has gone for sure: guards
+        against a call that takes its way slower than the one after it, counted as leaving before it came."""
+        self.held = max(0.0, self.before - (at - self.began) * self.rate / 1000.0) + self.coming * carried_out
+        self.counted = at
+
     def free_at(self, now: float, orders: int) -> float:
         """When so many orders fit, or all else has gone."""
         held = self.left(now)
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -27,9 +27,9 @@
     return list(said["params"]["ops"])
 
 
-def answer(c: Calls, **said: Any) -> list[Any] | None:
+def answer(c: Calls, at: float = 0.0, **said: Any) -> list[Any] | None:
     assert c.flying
-    return c.answered(0.0, msgspec.json.encode({"jsonrpc": "2.0", "id": c.flying.id, **said}))
+    return c.answered(at, msgspec.json.encode({"jsonrpc": "2.0", "id": c.flying.id, **said}))
 
 
 def test_every_order_in_the_relays_words() -> None:
@@ -203,6 +203,30 @@
         held, now = max(0.0, held - wait * RATE), now + wait
 
 
+@given(st.lists(st.tuples(st.integers(1, 250), st.floats(0.0, 50.0), st.floats(0.0, 1.0), st.booleans()), max_size=20))
+def test_no_call_fills_the_channel_beyond_its_queue_however_long_it_takes_to_become_a_message(
+    story: list[tuple[int, float, float, bool]],
+) -> None:
+    """What the channel holds, by the instant in which each call became a message."""
+    c = calls(channel=channel())
+    now, held, counted = 0.0, 0.0, 0.0
+    for n, (lines, takes, part, broken) in enumerate(story):
+        c.order([*(api.SetLine(k, A, float(n + 1)) for k in range(lines)), api.Mark(n + 1)])
+        while (at := c.next_at(now)) is not None:
+            now = max(at, now) + 1e-6  # or it is a rounding away
+            call = c.next(now)
+            assert call
+            came = max(now + takes, counted)
+            held, counted = max(0.0, held - (came - counted) * RATE) + (len(call.orders) + 8) * PROXIES, came
+            assert held <= MOST + 1e-6
+            now += takes * part if broken else takes
+            if broken:
+                c.unknown(now)
+                broken = False
+            else:
+                assert answer(c, now, result={"taken": len(call.orders)}) is not None
+
+
 def test_a_mark_applied_proves_that_a_doubted_call_was_carried_out() -> None:
     c = calls(channel=channel())
     orders = [*(api.SetLine(n, A, 1.0) for n in range(200)), api.Mark(5)]
