Reread: a session of news stops its own timer; a connection's reason is empty until it has one

What dropping a session meant stood in the link, beside the session's own drop; whether a connection had been given up was told by comparing its default text; the type of an address was written twice.

--- a/corallanding/dial.py
+++ b/corallanding/dial.py
@@ -18,13 +18,14 @@
 
 
 class Dialled(asyncio.Protocol):
-    """A connection to `where`. lost: told once, with the connection, if it ends by itself; its reason is in `why`."""
+    """A connection to `where`. lost: told once, with the connection, if it ends by itself; `why` says the
+    reason if it was given up as of no use."""
 
     def __init__(self, where: Address, lost: Callable[[Any], None]) -> None:
         self.where, self.lost = where, lost
         self.stands: Callable[[Any], None] = lambda conn: None
         self.open = False
-        self.why = "the connection broke"
+        self.why = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
--- a/corallanding/discovery/agent.py
+++ b/corallanding/discovery/agent.py
@@ -106,7 +106,7 @@
     def lost(self, conn: Conversation) -> None:
         self.conn = None
         if self.limit:
-            self.failed(conn.why)
+            self.failed(conn.why or "the connection broke")
 
     def answered(self, conn: Conversation, body: bytes, fault: str) -> None:
         if not conn.open:
--- a/corallanding/discovery/conversation.py
+++ b/corallanding/discovery/conversation.py
@@ -70,7 +70,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         # Without a length the end of the connection is the end of the body, as HTTP/1.1 has it.
-        if self.open and self.asking and exc is None and self.until_close and self.why == "the connection broke":
+        if self.open and self.asking and exc is None and self.until_close and not self.why:
             self.keep = False
             self.conclude()
         super().connection_lost(exc)
--- a/corallanding/node/config.py
+++ b/corallanding/node/config.py
@@ -12,14 +12,13 @@
 
 from .. import interface as api
 from ..collector.core import Places
+from ..dial import Address
 from ..discovery.core import Answer
 from ..simhost.fields import Malformed
 from ..simhost.settings import above_0, ms
 from ..simhost.settings import settings as settings_of
 from ..unreadable import UNREADABLE
 
-Address = tuple[str, int]
-
 
 class BadConfig(Exception):
     """One line: what is wrong, and at which key."""
--- a/corallanding/relay/news_link.py
+++ b/corallanding/relay/news_link.py
@@ -24,6 +24,11 @@
         self.begun = False  # the relay has said that it will tell
         self.quiet: asyncio.TimerHandle | None = None
 
+    def drop(self) -> None:
+        if self.quiet:
+            self.quiet.cancel()
+        super().drop()
+
 
 class NewsLink:
     """Keeps a connection with news. Times in ms.
@@ -170,19 +175,14 @@
             self.again.cancel()
             self.again = None
         if self.coming:
-            self.drop(self.coming)
+            self.coming.drop()
             self.coming = None
 
-    def drop(self, session: Session) -> None:
-        if session.quiet:
-            session.quiet.cancel()
-        session.drop()
-
     def close(self) -> None:
         self.closed = True
         self.stop_coming()
         if self.current:
-            self.drop(self.current)
+            self.current.drop()
             self.current = None
         for timer in (self.timer, self.lines):
             if timer:
