Review case 1: the drain 0.8 s into the cut, further from other moments

Cause: at 0.85 s a retry of the call's connection came within 0.13 s of the end of the cut; on a slower machine it might come up first.

Change: 0.8 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -31,7 +31,7 @@
         if has_trouble():
             steward.relay.cut()
         cut_at = record.now()
-        await asyncio.sleep(0.85)
+        await asyncio.sleep(0.8)
         second.health = "terminating"
         world.tell(second)
         await asyncio.sleep(max(0.0, cut_at + CUT_SECONDS - record.now()))
