--- a/review/2/case.py
+++ b/review/2/case.py
@@ -91,4 +91,4 @@
         await asyncio.sleep(0.5)
 
 
-run_case(Path(__file__).resolve().parent, play)
+run_case(Path(sys.argv[1]), play)  # writes record.txt, which run.sh names
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -68,4 +68,4 @@
         world.close()
 
 
-run_case(Path(__file__).resolve().parent, play)
+run_case(Path(sys.argv[1]), play)  # writes record.txt, which run.sh names
--- a/review/standins.py
+++ b/review/standins.py
@@ -763,9 +763,12 @@
         return held
 
 
-def run_case(folder: Path, play: Any) -> None:
-    """Run a case: `play(record, temporary folder)` returns whether the rule held. Exits with 0, 1 or 2."""
-    record = Record(folder / "record.txt")
+def run_case(path: Path, play: Any) -> None:
+    """Run a case and write its record to `path`. Exits with 0, 1 or 2.
+
+    `play(record, temporary folder)` returns whether the rule held.
+    """
+    record = Record(path)
     random.seed(1)
     record(f"trouble: {has_trouble()}")
     code = 2
