--- a/review/6/bad_clients.py
+++ b/review/platform2/bad_clients.py
@@ -1,4 +1,4 @@
-"""Bad clients: each connects, sends heartbeats without end, and reads what comes, until it is closed."""
+"""Bad clients: each connects, sends messages of one kind without end, and reads what comes, until it is closed."""
 
 from __future__ import annotations
 
@@ -7,14 +7,18 @@
 import sys
 import time
 
-HEARTBEATS = b"*1\r\n$2\r\nhb\r\n" * 4_000
+MESSAGES = {
+    "heartbeats": b"*1\r\n$2\r\nhb\r\n" * 4_000,
+    "line-ends": b"*1\r\n$2\r\n\r\n\r\n" * 24_000,  # of no known kind: the only word is a line end
+}
 CHUNK = 65_536
 
 
 class Client:
     """One bad client."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, messages: bytes) -> None:
+        self.messages = messages
         self.began = time.monotonic()
         self.offset = 0
         self.sent = 0
@@ -30,8 +34,8 @@
                 if not received or b"reject" in received:
                     return False
             if events & selectors.EVENT_WRITE:
-                count = self.socket.send(HEARTBEATS[self.offset : self.offset + CHUNK])
-                self.offset = (self.offset + count) % len(HEARTBEATS)
+                count = self.socket.send(self.messages[self.offset : self.offset + CHUNK])
+                self.offset = (self.offset + count) % len(self.messages)
                 self.sent += count
         except BlockingIOError:
             pass
@@ -40,12 +44,12 @@
         return True
 
 
-def main(port: int, count: int, seconds: float) -> None:
+def main(port: int, count: int, seconds: float, messages: bytes) -> None:
     """Run the clients for `seconds` at most, and print how long each was left open."""
     began = time.monotonic()
     selector = selectors.DefaultSelector()
     for _ in range(count):
-        client = Client(port)
+        client = Client(port, messages)
         selector.register(client.socket, selectors.EVENT_READ | selectors.EVENT_WRITE, client)
     while selector.get_map() and time.monotonic() - began < seconds:
         for key, events in selector.select(0.1):
@@ -62,4 +66,4 @@
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]))
+    main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), MESSAGES[sys.argv[4]])
--- a/review/platform2/hosts.py
+++ b/review/platform2/hosts.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import random
+import socket
 import time
 from typing import Any
 
@@ -11,6 +13,19 @@
 WORK_S = 0.25
 
 
+def free_port() -> int:
+    """Return a port that nobody uses now, below those that the system gives out by itself."""
+    source = random.SystemRandom()
+    while True:
+        port = source.randrange(12_000, 30_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
 class Host:
     """One host. `born_ms` is the start of its process in Unix ms, 0 for long ago."""
 
@@ -26,7 +41,7 @@
         self.cold_from = 1.0
         self.cold_ms = 1.0
         self.server: asyncio.Server | None = None
-        self.port = 0
+        self.port = free_port()
         self.writers: set[asyncio.StreamWriter] = set()
         self.checks = 0
 
@@ -34,7 +49,6 @@
         """Listen for health checks, on the former port if there was one."""
         self.is_alive = True
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     def die(self) -> None:
         """End the process: connections are reset, new ones refused."""
--- a/review/platform2/relay.py
+++ b/review/platform2/relay.py
@@ -38,6 +38,7 @@
         self.connections: set[asyncio.StreamWriter] = set()
         self.departs_at = 0.0  # when the last message leaves the channel
         self.has_level = False
+        self.speed = 1.0  # of the channel: below 1 while it is slower than the settings say
         self.calls = 0
         self.unanswered = 0
         self.call_times: deque[float] = deque()
@@ -184,16 +185,15 @@
             lines = sum(1 for op in ops if self._concerns(op, proxy))
             if lines or goes_to_all:
                 lines += site.head + self.has_level + any(op["op"] == "SYNC" for op in ops)
-                self.departs_at += lines * 1000.0 / site.lines_per_s
+                self.departs_at += lines * 1000.0 / (site.lines_per_s * self.speed)
                 self._count_message(proxy, now)
             travel = min(site.late_most, site.late * self.random.expovariate(1.0))
             at = max(self.departs_at + travel, proxy.last_at.get(self.me, 0.0) + 1.0)  # in order
             proxy.last_at[self.me] = at
             answers = bool(lines or goes_to_all)
-            asyncio.get_running_loop().call_later(
-                max(0.0, at - now) / 1000.0, self._deliver, proxy, proxy.epoch[self.me], ops, (answers, now)
-            )
-        waiting = (self.departs_at - now) * site.lines_per_s / 1000.0
+            due = self.world.record.started + at / 1000.0
+            asyncio.get_running_loop().call_at(due, self._deliver, proxy, proxy.epoch[self.me], ops, (answers, now))
+        waiting = (self.departs_at - now) * site.lines_per_s * self.speed / 1000.0
         if waiting > site.backlog:
             self.world.judge.breach("queue", f"n{self.me}: {waiting:.0f} lines wait, {site.backlog:.0f} are allowed")
 
--- a/review/platform2/steward.py
+++ b/review/platform2/steward.py
@@ -5,13 +5,13 @@
 import asyncio
 import json
 import os
-import random
 import signal
-import socket
 import tomllib
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from .hosts import free_port
+
 if TYPE_CHECKING:
     from .world import World
 
@@ -23,19 +23,6 @@
     return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(w.encode()), w.encode()) for w in words)
 
 
-def free_port() -> int:
-    """Return a port that nobody uses now, below those that the system gives out by itself."""
-    source = random.SystemRandom()
-    while True:
-        port = source.randrange(12_000, 30_000)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 class Steward:
     """The process of one steward, the collectors that report to it, and its configuration."""
 
