--- a/review/platform2/world.py
+++ b/review/platform2/world.py
@@ -433,3 +433,5 @@
                 if over > 0.0 and number not in proxy.bare_told:
                     proxy.bare_told.add(number)
                     self.judge.breach("lost", f"proxy {proxy.number} has no line for slice {number}", over)
+                elif over > 0.0:
+                    self.judge.worst["lost"] = max(self.judge.worst["lost"], over)
