--- a/review/platform2/hosts.py
+++ b/review/platform2/hosts.py
@@ -46,9 +46,13 @@
         self.checks = 0
 
     async def start(self) -> None:
-        """Listen for health checks, on the former port if there was one."""
+        """Listen for health checks, on the former port unless another program has taken it meanwhile."""
         self.is_alive = True
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        try:
+            self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        except OSError:
+            self.port = free_port()
+            self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
 
     def die(self) -> None:
         """End the process: connections are reset, new ones refused."""
