Trace: messages by what made their decisions due, and the messages in the window

Change: Publication counts each message by the reasons of its decision; the trace line of each second has them.

--- a/corallanding/assignment/assigner.py
+++ b/corallanding/assignment/assigner.py
@@ -17,7 +17,14 @@
 from .load_shedding import LoadShedding
 from .migration import Migration
 from .placement import Placement
-from .publication import DECISION_TIMER, HOST_LIST_TIMER, LOST_ACKS_TIMER, ORDINARY_MESSAGE_SHARE, Publication
+from .publication import (
+    DECISION_TIMER,
+    HOST_LIST_TIMER,
+    LOST_ACKS_TIMER,
+    ORDINARY_MESSAGE_SHARE,
+    DecisionReason,
+    Publication,
+)
 from .rendezvous import RendezvousTable
 from .state import FleetEstimate, Host, Slice
 
@@ -123,7 +130,7 @@
         self.load_estimator.ownership_changed_at_ms = self.publication.now_ms
         if event.is_owned:
             self.slices[event.slice] = Slice(event.slice)
-            self.publication.is_decision_due = True
+            self.publication.require_decision(DecisionReason.GRANTED_SLICE)
             self.admission.is_due = True
 
     def on_proxy_joined(self, event: api.ProxyJoined) -> None:
@@ -157,7 +164,7 @@
             return
         self._adopt_stored_owners()
         self.load_estimator.update()
-        publication.is_decision_due = False
+        reasons = publication.take_due_reasons()
         self.cordon_delivery.update()
         self.cordons.update()
         self.evacuation.evacuate_unavailable_hosts()
@@ -170,7 +177,7 @@
                 self._decide_ordinary()
         if self.slices:
             self.admission.publish()
-        publication.close_message()
+        publication.close_message(reasons)
 
     def _decide_ordinary(self) -> None:
         self.migration.release_previous_owners()
--- a/corallanding/assignment/host_health.py
+++ b/corallanding/assignment/host_health.py
@@ -7,7 +7,7 @@
 from .. import interface as api
 from .host_list import HostList
 from .limits import CALM_RATIO, FAILURE_MEMORY_MS, SUSPECT_FAILURES
-from .publication import QuotaKind
+from .publication import DecisionReason, QuotaKind
 from .state import FleetEstimate, Host, upper_median
 
 SATURATED_RATIO = 1.5
@@ -178,7 +178,7 @@
                 return
             note = f"failing {host.id} good={host.successes:.1f} bad={host.failures:.1f}"
             self.publication.actions.append(api.LogNote(note))
-            self.publication.is_decision_due = True
+            self.publication.require_decision(DecisionReason.FAILED_HOST)
         host.failed_at_ms = self.publication.now_ms
 
     # Predicates.
--- a/corallanding/assignment/host_list.py
+++ b/corallanding/assignment/host_list.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 
 from .. import interface as api
-from .publication import HOST_LIST_TIMER, Publication
+from .publication import HOST_LIST_TIMER, DecisionReason, Publication
 from .state import Host
 
 MIN_POLL_DELAY = 0.05
@@ -60,14 +60,14 @@
         for host in self.hosts.values():
             if host.is_listed and host.id not in listed_ids:
                 host.is_listed = False
-                self.publication.is_decision_due = True
+                self.publication.require_decision(DecisionReason.LEAVING_HOST)
 
     def _apply_entry(self, entry: api.HostEntry, kind: api.HostListKind) -> None:
         host = self.get_or_create(entry.host)
         if entry.state == api.HostState.REMOVED:
             # The last listed entry is kept, as the host may be draining.
             if host.is_listed:
-                self.publication.is_decision_due = True
+                self.publication.require_decision(DecisionReason.LEAVING_HOST)
             host.is_listed = False
             return
         if not self.has_fresh_list and kind is not api.HostListKind.CHANGES:
@@ -75,7 +75,7 @@
         if entry.online_since > host.process_started_at_ms:
             self._on_process_start(host, entry.online_since)
         if entry.state != api.HostState.UP:
-            self.publication.is_decision_due = True
+            self.publication.require_decision(DecisionReason.LEAVING_HOST)
         host.entry = entry
         host.is_listed = True
 
--- a/corallanding/assignment/publication.py
+++ b/corallanding/assignment/publication.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import StrEnum
 from typing import Protocol
 
@@ -32,6 +33,15 @@
 """Lines reserved in each message in addition to its table entries: the admission level and the version."""
 
 
+class DecisionReason(StrEnum):
+    """What makes a decision due before the next ordinary one."""
+
+    FAILED_HOST = "failed host"
+    LEAVING_HOST = "leaving host"  # draining, removed or missing from a full list
+    GRANTED_SLICE = "granted slice"
+    POSTPONED_ENTRIES = "postponed entries"  # table entries that exceeded the line budget
+
+
 class QuotaKind(StrEnum):
     """Kinds of changes that a quota shared by all controllers limits, by their setting names (`docs/budgets.md`)."""
 
@@ -60,7 +70,8 @@
 
     Other components append to `actions`, and add the lines that are sent to proxies to `lines_published`. Only this
     class writes tables, so that `Slice.weights` always matches what was published. `line_budget` is the number of lines
-    that may still be sent in this step; it is negative if the queue is already too full.
+    that may still be sent in this step; it is negative if the queue is already too full. `message_counts` holds the
+    messages sent, by each reason that made their decision due; ordinary ones have none.
     """
 
     def __init__(self, settings: api.Settings, hosts: dict[int, Host]) -> None:
@@ -70,6 +81,8 @@
         self.pending_versions = PendingVersions()
         self.cordon_delivery = CordonDelivery(hosts, self.pending_versions)
         self.is_decision_due = False  # a decision is due in this step, or in the next one that has an event
+        self.due_reasons: set[DecisionReason] = set()
+        self.message_counts: Counter[DecisionReason] = Counter()
         self.line_budget = 0.0
         self.lines_published = 0
         self.may_begin: QuotaCheck = without_quota
@@ -79,6 +92,17 @@
         self.now_ms = now_ms
         self.actions = []
 
+    def require_decision(self, reason: DecisionReason) -> None:
+        """Make a decision due as soon as a message may be sent."""
+        self.is_decision_due = True
+        self.due_reasons.add(reason)
+
+    def take_due_reasons(self) -> set[DecisionReason]:
+        """Begin the decision that is due, and return what made it due."""
+        reasons, self.due_reasons = self.due_reasons, set()
+        self.is_decision_due = False
+        return reasons
+
     def may_publish(self, *, is_urgent: bool) -> bool:
         """Return whether a message may be sent now; set `line_budget` unless the message limit is reached."""
         settings = self.settings
@@ -111,7 +135,7 @@
         removed = [host for host in slice_.weights if host not in hosts]
         removed = [host for host in removed if removes_cordoned or not host.is_cordoned]
         if len(added) + len(removed) > self.line_budget:
-            self.is_decision_due = True
+            self.require_decision(DecisionReason.POSTPONED_ENTRIES)
             return
         self.line_budget = self.line_budget - len(added) - len(removed)
         self.lines_published += len(added) + len(removed)
@@ -130,8 +154,9 @@
         self.line_budget -= 1
         self.actions.append(api.Cordon(host.id, is_cordoned))
 
-    def close_message(self) -> None:
+    def close_message(self, reasons: set[DecisionReason]) -> None:
         """Close the message of this step with a version, if it has any lines."""
         if self.lines_published:
+            self.message_counts.update(reasons)
             cost_lines = self.settings.message_overhead_lines + self.lines_published + CLOSING_LINES
             self.actions.append(self.pending_versions.publish(self.now_ms, cost_lines))
--- a/corallanding/platform/trace.py
+++ b/corallanding/platform/trace.py
@@ -95,6 +95,12 @@
     )
 
 
+def _message_summary(assigner: Assigner) -> str:
+    """Return the messages in the current window, and those since the start by what made their decisions due."""
+    counts = {reason.value: count for reason, count in assigner.publication.message_counts.items()}
+    return f"{len(assigner.pending_versions.sent_at_ms)}/{assigner.pending_versions.last_message} {counts}"
+
+
 def _assigner_summary(assigner: Assigner) -> Iterator[str]:
     """Yield the slowest hosts, each as name:latency ratio/load/fair load, and the slices that the slowest one owns."""
     listed = [host for host in assigner.hosts.values() if host.is_listed]
@@ -108,7 +114,7 @@
     yield (
         f"eligible={eligible} median={assigner.fleet.median_latency_ratio:.2f} "
         f"admission={assigner.admission.level:.2f} cordoned={cordoned} "
-        f"cordons_due={len(assigner.cordon_delivery.due_hosts)} worst {worst}"
+        f"cordons_due={len(assigner.cordon_delivery.due_hosts)} messages={_message_summary(assigner)} worst {worst}"
     )
     if slowest:
         owned = sorted(
