A message is sent only if urgent ones can still follow in time within the limit

Cause: urgent decisions were published in the step in which they became due until 19 of 20 messages in 10 s were used, and then none for up to 10 s. Calls to the relay, resent ones included, the same.

Change: MessageLimit allows a message only if after it one could follow every third of the drain grace, for ever. The assigner and the calls to the relay use it.

--- a/corallanding/assignment/publication.py
+++ b/corallanding/assignment/publication.py
@@ -8,6 +8,7 @@
 
 from .. import interface as api
 from .cordon_delivery import CordonDelivery
+from .message_limit import MessageLimit
 from .pending_versions import PendingVersions
 from .state import Host, Slice
 
@@ -23,6 +24,9 @@
 ORDINARY_MESSAGE_SHARE = 0.7
 """Share of the message limit that ordinary decisions may use; the rest is reserved for failed and draining hosts."""
 
+REPEATED_MESSAGES = 1
+"""Messages of the limit that are left for messages that are sent twice."""
+
 URGENT_QUEUE_SHARE = 0.9
 """Share of the queue limit, message overheads included, that evacuations may fill."""
 
@@ -86,6 +90,8 @@
         self.line_budget = 0.0
         self.lines_published = 0
         self.may_begin: QuotaCheck = without_quota
+        max_messages = max(1, settings.max_messages - REPEATED_MESSAGES) if settings.max_messages else 0
+        self.message_limit = MessageLimit.for_drains(max_messages, settings.message_window_ms, settings.drain_grace_ms)
 
     def begin_step(self, now_ms: float) -> None:
         """Start a step at `now_ms` without any actions."""
@@ -104,11 +110,13 @@
         return reasons
 
     def may_publish(self, *, is_urgent: bool) -> bool:
-        """Return whether a message may be sent now; set `line_budget` unless the message limit is reached."""
+        """Return whether a message may be sent now; set `line_budget` unless the message limit forbids it."""
         settings = self.settings
-        message_limit = settings.max_messages - 1 if is_urgent else int(settings.max_messages * ORDINARY_MESSAGE_SHARE)
-        messages = self.pending_versions.messages_since(self.now_ms - settings.message_window_ms - 1.0)
-        if settings.max_messages and messages >= message_limit:
+        messages = self.pending_versions.messages_since(self.now_ms - self.message_limit.window_ms)
+        if self.now_ms < self.message_limit.earliest_send_ms(self.pending_versions.sent_at_ms):
+            return False
+        max_ordinary = int(settings.max_messages * ORDINARY_MESSAGE_SHARE)
+        if settings.max_messages and not is_urgent and messages >= max_ordinary:
             return False
         queue_share = URGENT_QUEUE_SHARE if is_urgent else ORDINARY_QUEUE_SHARE
         free_lines = settings.max_queued_lines * queue_share - self.pending_versions.queued_lines()
--- a/corallanding/platform/service.py
+++ b/corallanding/platform/service.py
@@ -9,6 +9,7 @@
 
 from .. import interface as api
 from ..assignment import Assigner
+from ..assignment.message_limit import MessageLimit
 from ..collector.reports import ReportIntake
 from ..collector.server import CollectorServer
 from ..controller.event_inbox import EventInbox
@@ -93,7 +94,9 @@
             lambda: len(self.relay_view.proxies),
         )
         self.calls = PendingCalls(
-            list(config.names.request_classes), settings.max_messages, settings.message_window_ms, channel
+            list(config.names.request_classes),
+            MessageLimit.for_drains(settings.max_messages, settings.message_window_ms, settings.drain_grace_ms),
+            channel,
         )
         self.call_connection = CallConnection(config.relay, self.calls, self.clock, self.on_orders_confirmed)
         self.subscription = Subscription(
--- a/corallanding/relay/pending_calls.py
+++ b/corallanding/relay/pending_calls.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from .. import interface as api
+from ..assignment.message_limit import MessageLimit
 from ..json_errors import JSON_DECODE_ERRORS
 from .call import Call, CallAnswer, build_call
 from .channel import ChannelEstimate
@@ -21,31 +22,29 @@
 
 SLICE_KINDS = (OrderKind.TABLE_ENTRY, OrderKind.TABLE_RESET, OrderKind.ADMISSION)
 MAX_ANSWER_DELAY_MS = 50.0  # the relay executes and answers a call within this time, or never
-WINDOW_MARGIN_MS = 1.0  # it is not known whether the end of a message window is inclusive
 MIN_BACKOFF_MS = 20.0  # after a failed call; doubles with each consecutive failure
 MAX_BACKOFF_MS = 500.0
 MAX_BACKOFF_DOUBLINGS = 10
 MAX_QUOTED_BYTES = 300  # longest part of a rejected call in a warning
+NO_MESSAGE_LIMIT = MessageLimit(0, 0.0, 1.0)
 
 
 class PendingCalls:
     """The orders waiting for the relay, and the call in flight.
 
-    `request_classes` are the names of the request classes, indexed by number. At most `max_messages` (0: no limit) may
-    reach each proxy within `message_window_ms`. Every call that may have been carried out counts against this limit and
-    in `channel`, also one that is sent again. `warnings` holds log lines until the owner takes and clears them.
+    `request_classes` are the names of the request classes, indexed by number. Every call that may have been carried out
+    counts against `message_limit` and in `channel`, also one that is sent again. `warnings` holds log lines until the
+    owner takes and clears them.
     """
 
     def __init__(
         self,
         request_classes: list[str],
-        max_messages: int = 0,
-        message_window_ms: float = 10_000.0,
+        message_limit: MessageLimit = NO_MESSAGE_LIMIT,
         channel: ChannelEstimate | None = None,
     ) -> None:
         self.request_classes = request_classes
-        self.max_messages = max_messages
-        self.message_window_ms = message_window_ms
+        self.message_limit = message_limit
         self.channel = channel or ChannelEstimate()
         self.waiting: dict[OrderKey, Order] = {}
         self.in_flight: Call | None = None
@@ -93,11 +92,9 @@
         if self.in_flight or not self.waiting:
             return None
         send_at_ms = max(now_ms, self.not_before_ms)
-        window_ms = self.message_window_ms + WINDOW_MARGIN_MS
-        while self.message_times and self.message_times[0] + window_ms <= now_ms:
+        while self.message_times and self.message_times[0] + self.message_limit.window_ms <= now_ms:
             self.message_times.popleft()
-        if self.max_messages and len(self.message_times) >= self.max_messages:
-            send_at_ms = max(send_at_ms, self.message_times[0] + window_ms)
+        send_at_ms = max(send_at_ms, self.message_limit.earliest_send_ms(self.message_times))
         return max(send_at_ms, self.channel.earliest_send_ms(now_ms, len(self.waiting)))
 
     def next_call(self, now_ms: float) -> Call | None:
--- a/tests/snapshot/test_assigner_state.py
+++ b/tests/snapshot/test_assigner_state.py
@@ -25,7 +25,9 @@
     {
         # Derived from settings and seed, or shared between components.
         *("settings", "seed", "hosts", "slices", "rendezvous", "may_begin", "handlers", "decision_interval_ms"),
-        *("min_latency_objective_ms", "has_several_controllers"),
+        *("min_latency_objective_ms", "has_several_controllers", "message_limit"),
+        # Shown in traces only.
+        *("due_reasons", "message_counts"),
         # Recomputed within a step, or at the start of each decision.
         *("actions", "is_ordinary_decision_due", "eligible_hosts", "spare_loads", "hosts_with_changed_load"),
         # Used only with `proxies_keep_orders`; such an assigner is never stored.
