--- a/corallanding/controller/link_registry.py
+++ b/corallanding/controller/link_registry.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from .partial_frames import PartialFrames
 from .proxy_protocol import ProxyConnection
 
 
@@ -14,11 +15,13 @@
     links: dict[ProxyConnection, None] = field(default_factory=dict)
     proxies: dict[int, ProxyConnection] = field(default_factory=dict)  # by proxy number
     unidentified: dict[ProxyConnection, None] = field(default_factory=dict)  # connections without a Hello so far
+    partial_frames: PartialFrames[ProxyConnection] = field(default_factory=PartialFrames)
 
     def remove(self, link: ProxyConnection) -> bool:
         """Remove a connection; return whether it was the current one of its proxy."""
         self.links.pop(link, None)
         self.unidentified.pop(link, None)
+        self.partial_frames.remove(link)
         if self.proxies.get(link.proxy) is not link:
             return False
         del self.proxies[link.proxy]
--- a/corallanding/controller/proxy_connections.py
+++ b/corallanding/controller/proxy_connections.py
@@ -69,6 +69,7 @@
         self.links = registry.links
         self.proxies = registry.proxies
         self.unidentified = registry.unidentified
+        self.partial_frames = registry.partial_frames
 
     # ---- events from a link (`proxy_protocol.ConnectionOwner`) ---------------------------------------------------
 
--- a/corallanding/controller/proxy_protocol.py
+++ b/corallanding/controller/proxy_protocol.py
@@ -17,6 +17,7 @@
     from ..telemetry import Metrics, RateLimitedLogger
     from ..wire.link_state import LinkLimits
     from .connection_state import ConnectionState
+    from .partial_frames import PartialFrames
 
 NO_PROXY = -1  # proxy number of a connection before its Hello
 MAX_REASON_CHARACTERS = 200
@@ -34,6 +35,7 @@
     links: dict[ProxyConnection, None]
     proxies: dict[int, ProxyConnection]
     unidentified: dict[ProxyConnection, None]  # connections without a Hello so far
+    partial_frames: PartialFrames[ProxyConnection]
 
     @property
     def clock(self) -> Callable[[], float]:
@@ -104,6 +106,10 @@
         for frame in received:
             if not self.is_closed:
                 self.owner.on_frame(self, frame)
+        if not self.is_closed:
+            partial_bytes = len(self.link.reader.buffer)
+            self.owner.partial_frames.update(self, partial_bytes, is_new=bool(received))
+            self.owner.metrics.partial_frame_bytes.set(self.owner.partial_frames.total_bytes)
 
     @property
     def unsent_bytes(self) -> int:
--- a/corallanding/telemetry/metrics.py
+++ b/corallanding/telemetry/metrics.py
@@ -51,6 +51,7 @@
     def _add_proxies(self) -> None:
         self.proxies = self._gauge("forwarders", "Proxies joined")
         self.links_closed = self._counter("links_closed", "Connections closed, by reason", "reason")
+        self.partial_frame_bytes = self._gauge("partial_frame_bytes", "Bytes of incomplete frames, of all connections")
         self.channel_queued_lines = self._gauge("channel_waiting_lines", "Lines in the channel, overheads included")
         self.channel_max_queued_lines = self._gauge(
             "channel_most_lines", "The most lines that ever were in the channel"
