Reads are small and divided among connections: one fast client no longer holds up others

What callers saw: at the collector port of `run`, one client at full speed: others waited 3.0 s for a heartbeat (heartbeats), 3.1 s (heartbeats of a collector; unsound reports), 2.5 s (ever new names), in runs of 3 s; with longer runs up to 8.3 s. Cause: the event loop's transport reads up to 8 MiB from one socket in one iteration, and all of it was parsed and handled before any timer or other socket. Evidence: memory stays at 34 MiB, so nothing piles up; heartbeats, which cause no step, do the same harm as reports; messages that end the connection at the first one cost 0.14 s.

Change: ReadScheduler. Reads of 8 KiB; after 5 ms in one iteration the rest waits, a piece for each connection with reading paused, and is served in turns with pauses as long as the turns, half of each for identified peers. Messages are parsed one at a time. Over 100 heartbeats a second close a connection. Why it works: what one iteration may spend no longer depends on what one socket holds. tests/test_deploy.py and test_structure.py allow the new module and rate_limit in `run`: both need the standard library only.

--- a/corallanding/collector/server.py
+++ b/corallanding/collector/server.py
@@ -3,34 +3,44 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Callable
-from typing import cast
 
 from ..connection import Address, ReadTimeout
 from ..controller.acceptor import Listener
+from ..rate_limit import TokenBucket
+from ..read_scheduler import ReadScheduler, ScheduledConnection
 from .reports import ReportIntake, UsageReport
 from .session import HEARTBEAT_ANSWER, REJECT, CollectorSession
 
 MAX_UNREAD_BYTES = 4_096  # answers that a peer may leave unread
 IDENTIFICATION_TIMEOUT_MS = 1_000.0
 MAX_PENDING_HEARTBEATS = 16  # unanswered requests counted for one connection; further ones get no answer
+MAX_HEARTBEATS_PER_SECOND = 100.0  # of one connection; it is also the largest burst
 LISTEN_BACKLOG = 1024
 ACCEPTED_PER_SECOND = 2_000.0
 
 
-class CollectorConnection(asyncio.Protocol):
+def monotonic_ms() -> float:
+    """Return the time in ms on the monotonic clock."""
+    return time.monotonic() * 1000.0
+
+
+class CollectorConnection(ScheduledConnection):
     """One connection: a collector's, or one of a peer that has not identified itself."""
 
     def __init__(self, server: CollectorServer) -> None:
+        super().__init__(server.read_scheduler)
         self.server = server
         self.session = CollectorSession(server.intake)
+        self.heartbeat_allowance = TokenBucket(MAX_HEARTBEATS_PER_SECOND, MAX_HEARTBEATS_PER_SECOND, monotonic_ms())
         self.pending_heartbeats = 0
         self.identification_timeout: ReadTimeout | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first message."""
-        self.transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
         self.transport.set_write_buffer_limits(high=MAX_UNREAD_BYTES)
         self.identification_timeout = self.start_identification_timeout()
         self.server.on_connected(self)
@@ -39,9 +49,15 @@
         """Start the time limit for the peer to identify itself, and return it."""
         return ReadTimeout(asyncio.get_running_loop(), IDENTIFICATION_TIMEOUT_MS, self.on_identification_timeout)
 
-    def data_received(self, data: bytes) -> None:
+    @property
+    def is_identified(self) -> bool:
+        """Return whether the peer is a collector."""
+        return self.session.zone is not None
+
+    def on_data(self, data: bytes) -> None:
         """Deliver reports, answer heartbeats, and close the connection if the peer breaks the protocol."""
-        result = self.session.feed(data)
+        result = self.session.feed(data, self.heartbeat_allowance.whole_tokens(monotonic_ms()))
+        self.heartbeat_allowance.tokens -= result.heartbeats
         if self.session.zone is not None and self.identification_timeout:
             self.identification_timeout.cancel()
             self.identification_timeout = None
@@ -56,6 +72,9 @@
 
     def on_identification_timeout(self) -> None:
         """Close the connection of an unidentified peer, unless the peer still waits for a heartbeat."""
+        self.process_waiting_data()
+        if self.is_identified:
+            return
         self.identification_timeout = None
         if not self.pending_heartbeats:
             self.close("not identified in time", REJECT)
@@ -110,6 +129,7 @@
         max_per_zone: int = 4,
     ) -> None:
         self.intake = intake
+        self.read_scheduler = ReadScheduler(monotonic_ms)
         self.max_unidentified = max_unidentified
         self.max_per_zone = max_per_zone
         self.on_reports = on_reports
--- a/corallanding/collector/session.py
+++ b/corallanding/collector/session.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import dataclass, field
 
 from ..resp import Reader, encode
@@ -41,12 +42,12 @@
         self.reader = Reader(MAX_UNIDENTIFIED_BYTES)
         self.zone: int | None = None
 
-    def feed(self, data: bytes) -> FeedResult:
-        """Process received bytes and return their result."""
+    def feed(self, data: bytes, max_heartbeats: int = sys.maxsize) -> FeedResult:
+        """Process received bytes and return their result. With more than `max_heartbeats` requests, reject the peer."""
         result = FeedResult()
-        for strings in self.reader.feed(data):
+        for strings in self.reader.messages(data):
             if strings[0] == HEARTBEAT_REQUEST:
-                result.heartbeats += 1
+                self._on_heartbeat(max_heartbeats, result)
             elif self.zone is None:
                 self.identify(strings, result)
             else:
@@ -59,6 +60,13 @@
             result.close_reason = "malformed message"
         return result
 
+    def _on_heartbeat(self, max_heartbeats: int, result: FeedResult) -> None:
+        if result.heartbeats < max_heartbeats:
+            result.heartbeats += 1
+        else:
+            result.answer = REJECT
+            result.close_reason = "too many heartbeats"
+
     def identify(self, strings: list[bytes], result: FeedResult) -> None:
         """Process the first message of a connection, which has to name an existing zone."""
         zones = self.intake.names.zones
--- a/corallanding/controller/acceptor.py
+++ b/corallanding/controller/acceptor.py
@@ -34,7 +34,7 @@
         port: int,
         backlog: int,
         rate: float,
-        factory: Callable[[], asyncio.Protocol],
+        factory: Callable[[], asyncio.BaseProtocol],
         on_warning: Callable[[str], None],
         inherited: socket.socket | None = None,
     ) -> None:
--- a/corallanding/controller/factories.py
+++ b/corallanding/controller/factories.py
@@ -27,7 +27,7 @@
         port: int,
         backlog: int,
         rate: float,
-        factory: Callable[[], asyncio.Protocol],
+        factory: Callable[[], asyncio.BaseProtocol],
         on_warning: Callable[[str], None],
         inherited: socket.socket | None = None,
     ) -> Listener:
--- a/corallanding/lab/fleet/loop.py
+++ b/corallanding/lab/fleet/loop.py
@@ -158,12 +158,26 @@
             if isinstance(item, bytes):
                 if self.peer:
                     self.peer.on_read_by_peer(len(item))
-                self.protocol.data_received(item)
+                self.pass_on(item)
             else:
                 if item is None and not self.closing:
                     self.protocol.eof_received()
                 self.finish(item)
 
+    def pass_on(self, data: bytes) -> None:
+        """Pass data to the protocol; what it does not take before it pauses reading stays in front."""
+        if not isinstance(self.protocol, asyncio.BufferedProtocol):
+            self.protocol.data_received(data)
+            return
+        while data and not self.is_read_paused and not self.is_disconnected:
+            buffer = cast(memoryview, self.protocol.get_buffer(len(data)))
+            size = min(len(data), len(buffer))
+            buffer[:size] = data[:size]
+            self.protocol.buffer_updated(size)
+            data = data[size:]
+        if data:
+            self.incoming.appendleft((self.loop.now, data))
+
     def on_read_by_peer(self, size: int) -> None:
         """Free buffer space; resume the protocol once a quarter of the buffer is left."""
         self.unread_bytes -= size
--- a/corallanding/lab/fleet/steward.py
+++ b/corallanding/lab/fleet/steward.py
@@ -164,7 +164,7 @@
         port: int,
         backlog: int,
         rate: float,
-        factory: Callable[[], asyncio.Protocol],
+        factory: Callable[[], asyncio.BaseProtocol],
         on_warning: Callable[[str], None],
         inherited: socket.socket | None = None,
     ) -> Any:
--- a/corallanding/rate_limit.py
+++ b/corallanding/rate_limit.py
@@ -18,12 +18,16 @@
     tokens: float
     updated_at_ms: float
 
-    def try_take(self, now_ms: float) -> bool:
-        """Take one token; return False if there is none."""
+    def whole_tokens(self, now_ms: float) -> int:
+        """Add the tokens gained until now, and return how many can be taken."""
         gained = (now_ms - self.updated_at_ms) / 1000.0 * self.rate_per_second
         self.tokens = min(self.rate_per_second, self.tokens + gained)
         self.updated_at_ms = now_ms
-        if self.tokens < 1.0:
+        return int(self.tokens)
+
+    def try_take(self, now_ms: float) -> bool:
+        """Take one token; return False if there is none."""
+        if not self.whole_tokens(now_ms):
             return False
         self.tokens -= 1.0
         return True
--- a/corallanding/resp/__init__.py
+++ b/corallanding/resp/__init__.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import NamedTuple
 
 from ..errors import ProtocolError
 
+MAX_SPLIT_BYTES = 1 << 15  # a larger buffer holds a long message, which is not split into lines each time
 MAX_LENGTH_DIGITS = 10  # digits in the length of an array or a bulk string
 DEFAULT_MAX_STRINGS = 64
 LINE_END = b"\r\n"
@@ -56,33 +57,42 @@
 
     def feed(self, data: bytes) -> list[list[bytes]]:
         """Add bytes and return the messages they complete; none after an error."""
-        messages: list[list[bytes]] = []
+        return list(self.messages(data))
+
+    def messages(self, data: bytes) -> Iterator[list[bytes]]:
+        """Add bytes and yield the messages they complete; none after an error.
+
+        A message is parsed only when it is requested, so that nothing is spent on what follows an unwanted one. The
+        iterator must be used up or closed before more bytes are added.
+        """
         if self.error:
-            return messages
+            return
         self.buffer += data
         if len(self.buffer) < self.needed_bytes:
-            return messages
+            return
         received = bytes(self.buffer)
-        lines = received.split(LINE_END)
+        lines = received.split(LINE_END) if len(received) <= MAX_SPLIT_BYTES else []
         line_number = 0
         offset = 0
         try:
             while message := self._read_lines(lines, line_number, offset) or self._parse_message(received, offset):
-                messages.append(message.strings)
-                line_number += received.count(LINE_END, offset, message.end)
+                line_number += received.count(LINE_END, offset, message.end) if lines else 0
                 offset = message.end
+                yield message.strings
         except FrameError as error:
             self.error = error
             offset = len(received)
-        del self.buffer[:offset]
-        self.needed_bytes -= offset
-        return messages
+        finally:
+            del self.buffer[:offset]
+            self.needed_bytes -= offset
 
     def _read_lines(self, lines: list[bytes], first: int, start: int) -> _Message | None:
         """Return the message that begins with line `first` at offset `start`; None if `_parse_message` has to decide.
 
         This is the usual case, and several times faster: the message is complete, and no string contains a line end.
         """
+        if first >= len(lines):
+            return None
         length = ARRAY_LINES.get(lines[first], 0)
         end = first + 1 + 2 * length
         if not 1 <= length <= self.max_strings or end >= len(lines):
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -136,6 +136,7 @@
     "http-half": lambda _: Script(b"GET /none HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 8_000),
     "http-short-fields": lambda _: Script(b"GET /none HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 2_000),
     "http-pipelined": lambda _: Script(b"", itertools.repeat(b"GET /none HTTP/1.1\r\nHost: a\r\n\r\n" * 100)),
+    "http-paced": lambda _: Script(b"", itertools.repeat(b"GET /none HTTP/1.1\r\nHost: a\r\n\r\n" * 30), 0.001),
     "http-new-paths": lambda _: Script(b"", new_paths()),
 }
 
--- /dev/null
+++ b/tests/hostile_runs.py
@@ -0,0 +1,233 @@
+"""Programs under hostile clients: starts them, probes how long another client waits, and reads their memory."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import sys
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from platform_samples import CONFIG_FILE, list_entry
+from platform_standins import ControllerProcess, StandInDiscovery, StandInHosts, StandInRelay, free_address
+from sockets import RawProxyConnection, until
+
+from corallanding.resp import encode
+from corallanding.wire import frames
+from tests.controller.program import ControllerProgram
+
+ROOT = Path(__file__).parent.parent
+PROBE_INTERVAL_SECONDS = 0.05
+MAX_PROBE_SECONDS = 10.0
+SETTLE_SECONDS = 0.3  # before the hostile clients start, for a first probe
+HONEST_PROXY = 4_000  # the hostile proxies have the numbers from 0
+STEWARD_CONFIG = """
+zones = ["a", "b"]
+steward {
+  listen = "%(proxies)s"
+}
+store {
+  path = "%(store)s"
+}
+roster {
+  address = "127.0.0.1:1"
+}
+slices {
+  count = 4
+}
+operation "quote" {
+  repeat = "idempotent"
+  latency_objective_ms = 1200
+  integration_timeout_ms = 3000
+}
+forwarders {
+  count = 2
+}
+door {
+  listen = "%(admin)s"
+}
+load_reports {
+  listen = "%(load_reports)s"
+}
+"""
+
+Probe = Callable[[], Awaitable[None]]
+
+
+@dataclass
+class Program:
+    """A running program. probes: by the first word of a kind of hostile client, a request that is answered."""
+
+    pid: int
+    ports: dict[str, int]
+    probes: dict[str, Probe]
+
+    def peak_memory_mib(self) -> float:
+        """Return the most memory that the process had so far."""
+        return memory_mib(self.pid)
+
+
+@dataclass
+class HostileRun:
+    """The result of one run. peak_mib: memory of the program; probe_seconds: how long each probe took."""
+
+    kind: str
+    peak_mib: float
+    probe_seconds: list[float]
+    closed: int
+    sent_bytes: int
+
+    def __str__(self) -> str:
+        worst = max(self.probe_seconds)
+        sent = f"{self.closed} closed, {self.sent_bytes} bytes sent"
+        return f"{self.kind}: {self.peak_mib:.0f} MiB, probes up to {worst:.2f} s, {sent}"
+
+
+def memory_mib(pid: int) -> float:
+    """Return the most memory that a process had so far."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) / 1024.0 for line in lines if line.startswith("VmHWM"))
+
+
+def port_of(address: str) -> int:
+    return int(address.rpartition(":")[2])
+
+
+async def probe_heartbeat(port: int) -> None:
+    """Request a heartbeat of `run`, on a connection of its own."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(encode(["hb"]))
+    await reader.readexactly(len(encode(["hb_ok"])))
+    writer.close()
+
+
+async def probe_proxy(port: int, peer: RawProxyConnection) -> None:
+    """Let a joined proxy violate the protocol on a new connection: it is told so at once."""
+    probe = RawProxyConnection(*await asyncio.open_connection("127.0.0.1", port))
+    probe.send(frames.Heartbeat())
+    await probe.wait_for_frame(frames.Goodbye, timeout_seconds=MAX_PROBE_SECONDS)
+    probe.writer.close()
+    peer.send(frames.Heartbeat())
+    await peer.writer.drain()
+
+
+async def probe_load_reports(port: int) -> None:
+    """Send a report of an impossible length, which ends the stream."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"\xff\xff")
+    with contextlib.suppress(ConnectionResetError):
+        await reader.read()
+    writer.close()
+
+
+async def probe_admin(port: int) -> None:
+    """Request the health page; beyond the limit of connections the answer is an error, but at once."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    with contextlib.suppress(ConnectionResetError):
+        await reader.read()
+    writer.close()
+
+
+@contextlib.asynccontextmanager
+async def platform_program(folder: Path) -> AsyncIterator[Program]:
+    """Run `python -m corallanding.platform` against stand-ins."""
+    relay, hosts = StandInRelay(), StandInHosts()
+    dial = await hosts.open()
+    rows = [list_entry(f"s-{n}", dial=dial) for n in range(6)]
+    agent = StandInDiscovery(rows)
+    relay.tables, relay.proxies = {n: {f"s-{n % 6}": 1.0} for n in range(12)}, {0, 1}
+    config: dict[str, Any] = {
+        **CONFIG_FILE,
+        "listen": free_address(),
+        "discovery": await agent.open(),
+        "store": {"address": await relay.open()},
+        "known": {"seq": 1, "whole": True, "hosts": rows},
+    }
+    process = ControllerProcess(config, folder / "config.json")
+    await process.start()
+    try:
+        port = port_of(config["listen"])
+        _, writer = await process.connect()
+        writer.close()
+        await probe_heartbeat(port)
+        yield Program(process.process.pid, {"report": port}, {"report": lambda: probe_heartbeat(port)})
+    finally:
+        process.process.kill()
+        await process.process.wait()
+        for server in (relay, agent, hosts):
+            server.close()
+
+
+@contextlib.asynccontextmanager
+async def steward_program(folder: Path) -> AsyncIterator[Program]:
+    """Run `corallanding steward` with its ports for proxies, load reports and admin requests."""
+    addresses = {name: free_address() for name in ("proxies", "admin", "load_reports")}
+    text = STEWARD_CONFIG % {**addresses, "store": folder / "s.db"}
+    with ControllerProgram(folder, text) as program:
+        await program.start()
+        await program_event(program, "load reports ready")
+        assert program.process
+        ports = {
+            "frame": port_of(addresses["proxies"]),
+            "http": port_of(addresses["admin"]),
+            "load": port_of(addresses["load_reports"]),
+        }
+        peer = RawProxyConnection(*await asyncio.open_connection("127.0.0.1", ports["frame"]))
+        peer.send_hello(HONEST_PROXY)
+        await peer.wait_for_frame(frames.Tables)
+        probes: dict[str, Probe] = {
+            "frame": lambda: probe_proxy(ports["frame"], peer),
+            "http": lambda: probe_admin(ports["http"]),
+            "load": lambda: probe_load_reports(ports["load"]),
+        }
+        yield Program(program.process.pid, ports, probes)
+
+
+async def program_event(program: ControllerProgram, event: str) -> None:
+    """Wait for a log entry."""
+    await until(lambda: program.entries(event), MAX_PROBE_SECONDS)
+
+
+def intake_pid(pid: int) -> int:
+    """Return the process that receives load reports, the only child of a controller."""
+    return int(Path(f"/proc/{pid}/task/{pid}/children").read_text().split()[0])
+
+
+async def run_hostile_clients(program: Program, kind: str, count: int, seconds: float) -> HostileRun:
+    """Run hostile clients against a program, and probe it until they have ended."""
+    target = kind.partition("-")[0]
+    probe_seconds: list[float] = []
+    probing = asyncio.create_task(_probe_repeatedly(program.probes[target], probe_seconds))
+    await asyncio.sleep(SETTLE_SECONDS)
+    arguments = [str(program.ports[target]), str(count), str(seconds), kind]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "tests" / "hostile_clients.py"),
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": str(ROOT)},
+    )
+    output, _ = await process.communicate()
+    probing.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await probing
+    sent = json.loads(output)
+    return HostileRun(kind, program.peak_memory_mib(), probe_seconds, sent["closed"], sent["sent"])
+
+
+async def _probe_repeatedly(probe: Probe, probe_seconds: list[float]) -> None:
+    """Probe one time after the other; one that is cut off counts with the time that it has taken."""
+    while True:
+        started = time.monotonic()
+        try:
+            async with asyncio.timeout(MAX_PROBE_SECONDS):
+                await probe()
+        finally:
+            probe_seconds.append(time.monotonic() - started)
+        await asyncio.sleep(PROBE_INTERVAL_SECONDS)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -55,6 +55,8 @@
 ALLOWED_MODULES = {
     "corallanding.controller.event_inbox",
     "corallanding.controller.acceptor",
+    "corallanding.read_scheduler",
+    "corallanding.rate_limit",
     "corallanding.endpoints.endpoint_list",
 }
 
--- /dev/null
+++ b/tests/test_hostile_clients.py
@@ -0,0 +1,91 @@
+"""Clients that misuse a listening address of the programs cost little memory, and do not hold up other clients."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from tests.hostile_runs import (
+    HostileRun,
+    Program,
+    platform_program,
+    run_hostile_clients,
+)
+
+pytestmark = pytest.mark.processes
+
+HUNDREDS = 400
+CROWD_SECONDS = 3.0
+FLOOD_SECONDS = 3.0
+MAX_ADDED_MIB = 64.0
+"""Memory that hostile clients may cost a program, all together: a third of the 192 MB of a platform controller."""
+
+MAX_ANSWER_SECONDS = 1.0
+"""Longest wait of another client: the time within which a peer of `run` has to identify itself."""
+
+PROXY_CROWDS = ["frame-half", "frame-half-joined", "frame-slow", "frame-short-fields", "frame-short-rows"]
+PROXY_FLOODS = [
+    "frame-beats",
+    "frame-beats-before-hello",
+    "frame-rows-flood",
+    "frame-new-jobs",
+    "frame-new-runs",
+]
+REPORT_CROWDS = [
+    "report-half",
+    "report-half-joined",
+    "report-short-fields",
+    "report-short-fields-joined",
+    "report-half-array-joined",
+]
+REPORT_FLOODS = [
+    "report-heartbeats",
+    "report-heartbeats-joined",
+    "report-line-ends",
+    "report-unsound",
+    "report-new-names",
+]
+LOAD_CROWDS = ["load-half", "load-json"]
+LOAD_FLOODS = ["load-empty", "load-json"]
+ADMIN_CROWDS = ["http-half", "http-short-fields"]
+ADMIN_FLOODS = ["http-pipelined", "http-paced", "http-new-paths"]
+
+
+async def run_kinds(program: Program, kinds: list[str], count: int, seconds: float) -> list[HostileRun]:
+    """Run each kind of hostile client in turn, and check that memory and waiting times are within their bounds."""
+    memory_before_mib = program.peak_memory_mib()
+    runs = []
+    for kind in kinds:
+        run = await run_hostile_clients(program, kind, count, seconds)
+        print(f"{count} clients, {run}; {memory_before_mib:.0f} MiB before")
+        assert run.peak_mib - memory_before_mib <= MAX_ADDED_MIB, str(run)
+        runs.append(run)
+    return runs
+
+
+def check_answers(runs: list[HostileRun]) -> None:
+    """Check that no other client waited for too long."""
+    for run in runs:
+        assert max(run.probe_seconds) <= MAX_ANSWER_SECONDS, str(run)
+
+
+def test_collectors_when_hundreds_send_half_or_many_short_fields_then_memory_is_bounded(tmp_path: Path) -> None:
+    """Guards against incomplete messages of hundreds of peers, identified or not."""
+
+    async def scenario() -> None:
+        async with platform_program(tmp_path) as program:
+            await run_kinds(program, REPORT_CROWDS, HUNDREDS, CROWD_SECONDS)
+
+    asyncio.run(scenario())
+
+
+def test_collectors_when_one_sends_at_full_speed_then_others_are_answered_and_memory_is_bounded(tmp_path: Path) -> None:
+    """Guards against megabytes of small messages of one connection that are all handled before others are read."""
+
+    async def scenario() -> None:
+        async with platform_program(tmp_path) as program:
+            check_answers(await run_kinds(program, REPORT_FLOODS, 1, FLOOD_SECONDS))
+
+    asyncio.run(scenario())
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -22,6 +22,7 @@
     "resp",
     "json_errors",
     "connection",
+    "read_scheduler",
     "assignment",
     "wire",
     "channel",
