Load report streams: small reads in turns, impossible lengths end a stream, silent ones make room

Cause: the same as at the collector port: all that one read brought (up to 8 MiB) was handled, at the cost of a report for two bytes, and only the last report of a read decided on a pause. The limit of streams rejected new ones, whoever held the places.

Change: the streams use ReadScheduler; a length below that of an envelope ends the stream as one above the limit does; beyond streams_most the oldest stream without an accepted report is closed.

--- a/corallanding/load_reports/intake.py
+++ b/corallanding/load_reports/intake.py
@@ -19,6 +19,7 @@
 import uvloop
 
 from ..endpoints.endpoint_list import parse_loopback_address
+from ..read_scheduler import ReadScheduler
 from .envelope import ReportHeader, is_authentic, read_report, read_sender
 from .errors import InvalidReportError
 from .framing import decode_messages, encode_message
@@ -58,7 +59,8 @@
         self.settings = settings
         self.shedder = LoadShedder(settings["sender_rate"], settings["sender_burst"], settings["processes_most"])
         self.datagrams: asyncio.DatagramTransport | None = None
-        self.streams: set[StreamReceiver] = set()
+        self.streams: dict[StreamReceiver, None] = {}  # the oldest first
+        self.read_scheduler = ReadScheduler(clock)
         self.rejected_streams = 0
         self.ended = asyncio.get_running_loop().create_future()
         self._clock = clock
--- a/corallanding/load_reports/receivers.py
+++ b/corallanding/load_reports/receivers.py
@@ -5,7 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, cast
 
-from .envelope import MAX_REPORT_BYTES
+from ..read_scheduler import ScheduledConnection
+from .envelope import MAX_REPORT_BYTES, MIN_REPORT_BYTES
 
 if TYPE_CHECKING:
     from .intake import LoadReportIntake
@@ -34,54 +35,63 @@
         """Ignore the error if a nonce was sent to a sender that has closed its socket."""
 
 
-class StreamReceiver(asyncio.Protocol):
+class StreamReceiver(ScheduledConnection):
     """Receives reports that are preceded by two bytes of length each. A stream over its rate is read more slowly."""
 
     def __init__(self, intake: LoadReportIntake) -> None:
+        super().__init__(intake.read_scheduler)
         self._intake = intake
         self._buffer = bytearray()
-        self._transport: asyncio.Transport | None = None
+        self._has_reported = False
+
+    @property
+    def is_identified(self) -> bool:
+        """Return whether a report of this stream was accepted."""
+        return self._has_reported
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the stream, or close it if there are too many."""
-        self._transport = cast(asyncio.Transport, transport)
-        if len(self._intake.streams) >= self._intake.settings["streams_most"]:
-            self._intake.rejected_streams += 1
-            self._transport.abort()
-            return
-        self._intake.streams.add(self)
-
-    def data_received(self, data: bytes) -> None:
+        """Register the stream. Beyond the limit close the oldest one without an accepted report, or else this one."""
+        super().connection_made(transport)
+        streams = self._intake.streams
+        if len(streams) >= self._intake.settings["streams_most"]:
+            silent = next((stream for stream in streams if not stream.is_identified), self)
+            silent.reject()
+        if not self.transport.is_closing():
+            streams[self] = None
+
+    def reject(self) -> None:
+        """Close the stream to keep within the limit."""
+        self._intake.rejected_streams += 1
+        self._intake.streams.pop(self, None)
+        self.transport.abort()
+
+    def on_data(self, data: bytes) -> None:
         """Pass complete reports to the intake; pause a stream whose last report was rejected."""
         self._buffer += data
         is_accepted = True
-        while len(self._buffer) >= STREAM_LENGTH_BYTES:
-            length = int.from_bytes(self._buffer[:STREAM_LENGTH_BYTES], "big")
-            end = STREAM_LENGTH_BYTES + length
-            if length > MAX_REPORT_BYTES:
+        start = 0
+        while len(self._buffer) - start >= STREAM_LENGTH_BYTES:
+            body_start = start + STREAM_LENGTH_BYTES
+            length = int.from_bytes(self._buffer[start:body_start], "big")
+            if not MIN_REPORT_BYTES <= length <= MAX_REPORT_BYTES:
                 self._intake.shedder.counts.invalid += 1
-                if self._transport:
-                    self._transport.abort()
+                self.transport.abort()
                 return
-            if len(self._buffer) < end:
+            if len(self._buffer) < body_start + length:
                 break
-            is_accepted = self._intake.on_report(bytes(self._buffer[STREAM_LENGTH_BYTES:end]), self)
-            del self._buffer[:end]
-        if not is_accepted and self._transport:
-            self._transport.pause_reading()
-            asyncio.get_running_loop().call_later(1.0 / self._intake.settings["sender_rate"], self._resume)
-
-    def _resume(self) -> None:
-        if self._transport and not self._transport.is_closing():
-            self._transport.resume_reading()
+            start = body_start + length
+            is_accepted = self._intake.on_report(bytes(self._buffer[body_start:start]), self)
+            self._has_reported = self._has_reported or is_accepted
+        del self._buffer[:start]
+        if not is_accepted:
+            self.suspend_reading()
+            asyncio.get_running_loop().call_later(1.0 / self._intake.settings["sender_rate"], self.resume_reading)
 
     def send_nonce(self, message: bytes) -> None:
         """Send a nonce, unless the sender does not read."""
-        if self._transport is None or self._transport.is_closing():
-            return
-        if self._transport.get_write_buffer_size() < MAX_UNSENT_STREAM_BYTES:
-            self._transport.write(message)
+        if not self.transport.is_closing() and self.transport.get_write_buffer_size() < MAX_UNSENT_STREAM_BYTES:
+            self.transport.write(message)
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Unregister the stream."""
-        self._intake.streams.discard(self)
+        self._intake.streams.pop(self, None)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -10,6 +11,7 @@
 from tests.hostile_runs import (
     HostileRun,
     Program,
+    intake_pid,
     platform_program,
     run_hostile_clients,
     steward_program,
@@ -112,6 +114,20 @@
     asyncio.run(scenario())
 
 
+def test_load_reports_when_clients_are_hostile_then_others_are_answered_and_memory_is_bounded(tmp_path: Path) -> None:
+    """Guards against streams of empty reports, each of which costs more than the two bytes that it takes."""
+
+    async def scenario() -> None:
+        async with steward_program(tmp_path) as steward:
+            program = replace(steward, pid=intake_pid(steward.pid))
+            # Floods first: streams of an earlier crowd may still hold their places for a moment.
+            check_answers(await run_kinds(program, LOAD_FLOODS, 1, FLOOD_SECONDS))
+            check_answers(await run_kinds(program, ["load-empty"], HUNDREDS, CROWD_SECONDS))
+            await run_kinds(program, LOAD_CROWDS, HUNDREDS, CROWD_SECONDS)
+
+    asyncio.run(scenario())
+
+
 def test_admin_when_clients_are_hostile_then_others_are_answered_and_memory_is_bounded(tmp_path: Path) -> None:
     """Guards against half heads, heads of many short fields, and requests that follow one another without end."""
 
