Queries that wait at the holder of a record are bounded, also when they are rejected

What callers saw: nothing yet; found by reading while looking for tables under ever new names. Beyond 10,000 records on which queries wait, a query was rejected, but left an empty entry: without a majority, memory grew with each new key, without end. Cause: setdefault before the check of the limit. Waiting queries were also kept for ever after their requesters had given up.

Change: the table is a class of its own that checks before it adds, and drops queries that were not repeated within the time-out.

--- a/corallanding/quorum_records/queries.py
+++ b/corallanding/quorum_records/queries.py
@@ -13,10 +13,10 @@
 from ..wire.peer_messages import OutgoingMessage
 from .core import QuorumRecords
 from .messages import Query, QueryReply
-from .query_state import NEVER, PendingQuery, Requester, WaitingQuery
+from .query_state import NEVER, PendingQuery, Requester
+from .waiting_queries import WaitingQueries
 
 NO_ANSWER = 0  # result of a query that timed out or was rejected; the group's owner defines the other results
-MAX_REQUESTERS = 64  # requesters that wait for a reply on one record
 
 
 class Outcome(NamedTuple):
@@ -91,7 +91,7 @@
         self.results: dict[int, list[QueryResult]] = {}  # first group of the owner -> results
         self.query_count = 0
         self.rejected_count = 0
-        self.waiting_queries: dict[tuple[int, int], dict[Requester, WaitingQuery]] = {}  # (group, key) -> queries
+        self.waiting_queries = WaitingQueries(limits.max_pending, limits.timeout_ms)
         self.last_responders: dict[int, int] = {}  # group -> controller that last replied
         self.retried_at_ms = NEVER
 
@@ -121,6 +121,10 @@
             self.unsent.append(self.query_count)
         return self.query_count
 
+    def cancel(self, number: int) -> None:
+        """Give up a pending query, for instance of a client that has left: it gets no result, and is not repeated."""
+        self.pending.pop(number, None)
+
     def send_new(self, now_ms: float) -> list[OutgoingMessage]:
         """Return the queries that have not been sent yet."""
         unsent = self.unsent
@@ -143,9 +147,7 @@
                 self.last_responders.pop(query.group, None)
             elif now_ms - query.sent_at_ms >= self.limits.retry_ms:
                 messages += self.send_query(now_ms, number, query)
-        self.waiting_queries = {
-            record: waiting for record, waiting in self.waiting_queries.items() if record[0] in self.records.proposers
-        }
+        self.waiting_queries.remove_outdated(now_ms, self.records.proposers)
         return messages
 
     def send_query(self, now_ms: float, number: int, query: PendingQuery) -> list[OutgoingMessage]:
@@ -190,29 +192,23 @@
         if owner.group_of(message.key) != message.group:
             self.rejected_count += 1  # a record in the wrong group would never be found
             return []
-        requesters = self.waiting_queries.setdefault((message.group, message.key), {})
-        if len(requesters) >= MAX_REQUESTERS or len(self.waiting_queries) > self.limits.max_pending:
+        record = (message.group, message.key)
+        requester = Requester(sender, message.incarnation, message.kind)
+        if not self.waiting_queries.add(now_ms, record, requester, message.round, message.argument):
             self.rejected_count += 1
             return []
-        requester = Requester(sender, message.incarnation, message.kind)
-        known = requesters.get(requester)
-        if known is None or message.round >= known.number:
-            requesters[requester] = WaitingQuery(message.round, message.argument)
         return self.try_answer(now_ms, message.group, message.key)
 
     def try_answer(self, now_ms: float, group: int, key: int) -> list[OutgoingMessage]:
         """Answer all waiting queries on the record that can be answered."""
         proposer = self.records.proposers.get(group)
-        requesters = self.waiting_queries.get((group, key))
-        if proposer is None or not proposer.is_ready or proposer.superseded_by or requesters is None:
+        if proposer is None or not proposer.is_ready or proposer.superseded_by:
             return []
         messages: list[OutgoingMessage] = []
-        for requester, query in list(requesters.items()):
+        for requester, query in self.waiting_queries.on_record((group, key)).items():
             if outcome := self.owners[group].on_query(now_ms, group, key, requester.kind, query.argument):
-                del requesters[requester]
+                self.waiting_queries.remove((group, key), requester)
                 messages += self.reply(requester, query.number, key, outcome)
-        if not requesters:
-            self.waiting_queries.pop((group, key), None)
         return messages
 
     def reply(self, requester: Requester, number: int, key: int, outcome: Outcome) -> list[OutgoingMessage]:
@@ -245,6 +241,7 @@
         if outcome is None:
             return []
         messages: list[OutgoingMessage] = []
-        for requester, query in self.waiting_queries.pop((group, key), {}).items():
+        for requester, query in self.waiting_queries.on_record((group, key)).items():
+            self.waiting_queries.remove((group, key), requester)
             messages += self.reply(requester, query.number, key, outcome)
         return messages
--- a/corallanding/quorum_records/query_state.py
+++ b/corallanding/quorum_records/query_state.py
@@ -29,7 +29,8 @@
 
 
 class WaitingQuery(NamedTuple):
-    """The latest query of a requester."""
+    """The latest query of a requester. received_at_ms: when it arrived, or was repeated."""
 
     number: int
     argument: int
+    received_at_ms: float
