Delayed jobs of a proxy that has left, or that it has withdrawn, are dropped

What callers saw: 40 jobs of a proxy that had closed its connection were all released later, and 38 of 38 withdrawn ones; each took a permit and claimed its idempotency key for nobody. Cause: Sessions keeps jobs until the age of their process is known, and was told neither of a proxy that left nor of a withdrawal. Evidence: with a majority, where nothing is delayed, jobs of a connection that is reset are not released (80 jobs, 0).

Change: both reach Sessions; queries of the proxy on ages and claims are given up, unless the claim would have to be returned. Delayed jobs have a limit over all proxies, of which one leaves the others as much as it uses. Log line 'delayed jobs of a proxy dropped'. The quota of releases moves out of the scheduling service.

--- a/corallanding/controller/idempotency_queries.py
+++ b/corallanding/controller/idempotency_queries.py
@@ -64,6 +64,13 @@
         """Return a granted claim of a job that was not released and will not be."""
         self._send(self.claims.query_release(now_ms, job, owner), ReturnQuery())
 
+    def cancel_of_proxy(self, proxy: int) -> None:
+        """Give up the queries on jobs of a proxy that has left, but for claims that have to be returned if granted."""
+        for number, query in list(self.pending.items()):
+            if not isinstance(query, ReturnQuery) and query.job.proxy == proxy and not query.job.is_abandoned:
+                del self.pending[number]
+                self.claims.cancel(number)
+
     def _send(self, number: int, query: Query) -> None:
         self.pending[number] = query
         self.records.schedule_queries()
--- a/corallanding/controller/quota_service.py
+++ b/corallanding/controller/quota_service.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, ClassVar
 
 from .. import interface as api
 from .. import quota
 from ..config import ControllerConfig
+from ..config.scheduling import RELEASES
 from ..quota import messages
 from ..telemetry import log
 from ..wire.peer_messages import OutgoingMessage
@@ -16,6 +17,7 @@
 from .cluster_service import ClusterService, ServiceContext, Tick
 
 COLD_SLICES = "cold_slices"  # the budget of slices that may be assigned to a host that warms up
+FLEET = 0  # replaces the host in a budget that is not per host
 RATE_SPAN_MS = 1_000.0  # how long a used unit of a per-second budget stays in use
 
 
@@ -151,3 +153,19 @@
     def close(self) -> None:
         """Close the journal."""
         self.journal.close()
+
+
+class ReleaseQuota:
+    """The quota of jobs that are released. clock: returns ms."""
+
+    def __init__(self, quota: QuotaService, clock: Callable[[], float]) -> None:
+        self.quota = quota
+        self.clock = clock
+
+    def take(self) -> bool:
+        """Take one unit; return whether one was available."""
+        return self.quota.may_begin(RELEASES, FLEET, True)
+
+    def request(self, count: int) -> None:
+        """Set this controller's demand for releases per second."""
+        self.quota.core.set_demand(self.clock(), RELEASES, count)
--- a/corallanding/controller/scheduling_service.py
+++ b/corallanding/controller/scheduling_service.py
@@ -5,7 +5,7 @@
 from typing import Any, ClassVar
 
 from ..config import ControllerConfig
-from ..config.scheduling import JOBS, RELEASES
+from ..config.scheduling import JOBS
 from ..errors import ConfigurationError
 from ..quorum_records.queries import QueryResult
 from ..scheduling import messages
@@ -23,12 +23,11 @@
 from .job_terms import JobAnswer, JobInstruction, JobOutcome, scheduling_limits, waiting_classes
 from .pinned_jobs import PinnedJobs
 from .pinning_service import PinningService
-from .quota_service import QuotaService
+from .quota_service import QuotaService, ReleaseQuota
 from .record_service import RecordService, record_key_of
 from .sessions import Admission, Sessions
 
 PROTOCOL_FEATURE = 2  # bit in a proxy's hello: it supports waiting jobs
-FLEET = 0  # replaces the host in a budget that is not per host
 
 
 class SchedulingService(ClusterService):
@@ -49,21 +48,21 @@
         fleet_view: FleetView,
     ) -> None:
         self.context = context
-        self.quota = quota
         self.pinning = pinning
         self.fleet_view = fleet_view
         classes = list(config.operation)
         job_classes = waiting_classes(config)
         self.names = [job_class.name for job_class in job_classes]
         self.job_class_numbers = {classes.index(name): number for number, name in enumerate(self.names)}
+        release_quota = ReleaseQuota(quota, context.clock)
         self.core = Scheduler(
             context.election.peer_ids,
             context.election.incarnation,
             job_classes,
             scheduling_limits(config),
             context.clock(),
-            self._take_release,
-            self._request_releases,
+            release_quota.take,
+            release_quota.request,
             config.budgets.words_per_s,
         )
         claims: IdempotencyRecords | None = None
@@ -83,14 +82,6 @@
         """Return whether the fields of a message are within the ranges that a correct controller sends."""
         return messages.is_valid(message)
 
-    def _take_release(self) -> bool:
-        """Take one unit of the quota of releases; return whether one was available."""
-        return self.quota.may_begin(RELEASES, FLEET, True)
-
-    def _request_releases(self, count: int) -> None:
-        """Set this controller's demand for releases per second."""
-        self.quota.core.set_demand(self.context.clock(), RELEASES, count)
-
     def on_proxy_joined(self, proxy: int) -> None:
         """Look up the session of a proxy: the age of its process bounds the age of its jobs."""
         name = self.fleet_view.session_name(proxy)
@@ -99,12 +90,19 @@
 
     def on_proxy_left(self, proxy: int) -> None:
         """Remove a proxy's jobs: it submits them to another controller, with their ages."""
+        delayed_count = self.sessions.on_proxy_left(proxy)
+        if self.queries:
+            self.queries.cancel_of_proxy(proxy)
         self.core.on_proxy_left(proxy)
+        if delayed_count:
+            log.info("delayed jobs of a proxy dropped", proxy=proxy, jobs=delayed_count)
 
     def on_proxy_frame(self, proxy: int, frame: frames.JobSubmission | frames.JobWithdrawal) -> None:
         """Handle a job that a proxy submits or withdraws."""
         now_ms = self.context.clock()
         if isinstance(frame, frames.JobWithdrawal):
+            if self.sessions.withdraw(proxy, frame.ticket):
+                return
             job = self.core.remove(proxy, frame.ticket, is_abandoned=frame.is_abandoned)
             if job and job.has_claim and frame.is_abandoned:
                 self._return_claim(now_ms, job)
--- a/corallanding/controller/sessions.py
+++ b/corallanding/controller/sessions.py
@@ -12,6 +12,8 @@
 from .record_service import RecordService, record_key_of
 
 MAX_DELAYED_JOBS = 10_000  # per proxy process, until its age is known
+MAX_DELAYED_JOBS_OF_ALL = 20_000
+UNKNOWN_PROXY = -1
 
 
 class Admission(Enum):
@@ -43,7 +45,7 @@
     name: str
     started_at: float
     is_confirmed: bool
-    delayed: list[DelayedJob] = field(default_factory=list)
+    delayed: dict[int, DelayedJob] = field(default_factory=dict)  # by ticket
 
 
 class Sessions:
@@ -57,14 +59,44 @@
         self.claims = claims
         self.records = records
         self.by_proxy: dict[int, Session] = {}
+        self.delayed_count = 0  # delayed jobs of all sessions
         self.queries: dict[int, tuple[int, str]] = {}  # (proxy, session name) by query number
 
     def on_proxy_joined(self, now_ms: float, proxy: int, name: str) -> None:
         """Record that a proxy connected, and query the age of its process if it is new."""
         known = self.by_proxy.get(proxy)
         if known is None or known.name != name:
+            self.on_proxy_left(proxy)
             self.by_proxy[proxy] = Session(name, now_ms, self.claims is None)
             self._query_age(now_ms, proxy, name)
+        elif not known.is_confirmed and (proxy, name) not in self.queries.values():
+            self._query_age(now_ms, proxy, name)
+
+    def on_proxy_left(self, proxy: int) -> int:
+        """Drop the delayed jobs of a proxy, and the query for its age; return the number of jobs.
+
+        The age that is known so far is kept, as the same process may connect again.
+        """
+        for number in [number for number, (owner, _) in self.queries.items() if owner == proxy]:
+            del self.queries[number]
+            if self.claims:
+                self.claims.cancel(number)
+        session = self.by_proxy.get(proxy)
+        return len(self._take_delayed(session)) if session else 0
+
+    def withdraw(self, proxy: int, ticket: int) -> bool:
+        """Drop a delayed job that its proxy has withdrawn; return whether there was one."""
+        session = self.by_proxy.get(proxy)
+        if session is None or session.delayed.pop(ticket, None) is None:
+            return False
+        self.delayed_count -= 1
+        return True
+
+    def _take_delayed(self, session: Session) -> list[DelayedJob]:
+        delayed = list(session.delayed.values())
+        session.delayed.clear()
+        self.delayed_count -= len(delayed)
+        return delayed
 
     def _query_age(self, now_ms: float, proxy: int, name: str) -> None:
         if self.claims and self.records:
@@ -79,14 +111,21 @@
             return Admission.REJECTED
         if session.is_confirmed:
             return Admission.NOW
-        if len(session.delayed) >= MAX_DELAYED_JOBS:
+        if frame.ticket in session.delayed:
+            return Admission.DELAYED
+        # Of the capacity of all sessions, one leaves to the others at least as much as it uses.
+        if len(session.delayed) >= min(MAX_DELAYED_JOBS, MAX_DELAYED_JOBS_OF_ALL - self.delayed_count):
             return Admission.REJECTED
-        session.delayed.append(DelayedJob(now_ms, frame))
+        session.delayed[frame.ticket] = DelayedJob(now_ms, frame)
+        self.delayed_count += 1
         return Admission.DELAYED
 
     def on_answer(self, now_ms: float, result: QueryResult) -> ReleasedJobs:
-        """Process the answer to a query of this object. Return the jobs that waited for it."""
-        proxy, name = self.queries.pop(result.number)
+        """Process the answer to a query of this object, or ignore it if the query was given up.
+
+        Return the jobs that waited for it.
+        """
+        proxy, name = self.queries.pop(result.number, (UNKNOWN_PROXY, ""))
         session = self.by_proxy.get(proxy)
         if session is None or session.name != name:
             return ReleasedJobs(proxy, [])
@@ -95,9 +134,7 @@
             return ReleasedJobs(proxy, [])
         session.started_at = min(session.started_at, now_ms - result.value)
         session.is_confirmed = True
-        delayed = session.delayed
-        session.delayed = []
-        return ReleasedJobs(proxy, delayed)
+        return ReleasedJobs(proxy, self._take_delayed(session))
 
     def age_ms(self, now_ms: float, proxy: int) -> float:
         """Return the known age of a proxy's process in ms; 0 if the process is unknown."""
--- a/corallanding/scheduling/idempotency.py
+++ b/corallanding/scheduling/idempotency.py
@@ -67,6 +67,10 @@
         """Release a claim whose job was never sent, so that it may be submitted again; return the query's number."""
         return self._send_query(now_ms, job.idempotency_key, KeyQuery.RELEASE, owner)
 
+    def cancel(self, number: int) -> None:
+        """Give up a query whose answer is no longer needed."""
+        self.queries.cancel(number)
+
     def _send_query(self, now_ms: float, key: int, kind: KeyQuery, argument: int) -> int:
         return self.queries.submit(now_ms, self.groups[key % len(self.groups)], key, kind, argument)
 
--- a/tests/controller/test_sessions.py
+++ b/tests/controller/test_sessions.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 from typing import Any
 
-from corallanding.controller.sessions import MAX_DELAYED_JOBS, Admission, Sessions
+from corallanding.controller.sessions import MAX_DELAYED_JOBS, MAX_DELAYED_JOBS_OF_ALL, Admission, Sessions
 from corallanding.quorum_records.queries import QueryResult
 from corallanding.scheduling.idempotency import KeyStatus
 from corallanding.wire import frames
@@ -16,12 +16,16 @@
 
     def __init__(self) -> None:
         self.query_count = 0
+        self.cancelled: list[int] = []
         self.is_scheduled = False
 
     def query_age(self, now_ms: float, key: int, waited_ms: float) -> int:
         self.query_count += 1
         return self.query_count
 
+    def cancel(self, number: int) -> None:
+        self.cancelled.append(number)
+
     def schedule_queries(self) -> None:
         self.is_scheduled = True
 
@@ -89,3 +93,44 @@
     for number in range(MAX_DELAYED_JOBS):
         assert sessions.admit(1.0, 4, job_submission(number)) is Admission.DELAYED
     assert sessions.admit(1.0, 4, job_submission(MAX_DELAYED_JOBS)) is Admission.REJECTED
+
+
+def test_jobs_when_their_proxy_leaves_before_its_age_is_known_then_they_are_dropped() -> None:
+    queries = FakeQueries()
+    sessions = sessions_with(queries)
+    sessions.on_proxy_joined(0.0, 4, "one")
+    sessions.admit(1.0, 4, job_submission(1))
+    assert sessions.on_proxy_left(4) == 1
+    assert queries.cancelled == [1]
+    sessions.on_proxy_joined(100.0, 4, "one")
+    assert queries.query_count == 2
+    sessions.admit(101.0, 4, job_submission(2))
+    released = sessions.on_answer(110.0, QueryResult(2, KeyStatus.UNCLAIMED, 110))
+    assert [delayed.frame.ticket for delayed in released.jobs] == [2]
+    assert sessions.delayed_count == 0
+
+
+def test_job_when_withdrawn_or_sent_twice_while_delayed_then_it_is_dropped_or_counted_once() -> None:
+    sessions = sessions_with(FakeQueries())
+    sessions.on_proxy_joined(0.0, 4, "one")
+    for ticket in (1, 2, 2):
+        assert sessions.admit(1.0, 4, job_submission(ticket)) is Admission.DELAYED
+    assert sessions.withdraw(4, 1)
+    assert not sessions.withdraw(4, 1)
+    assert not sessions.withdraw(5, 2)
+    assert sessions.delayed_count == 1
+    released = sessions.on_answer(2.0, QueryResult(1, KeyStatus.UNCLAIMED, 9))
+    assert [delayed.frame.ticket for delayed in released.jobs] == [2]
+
+
+def test_jobs_when_one_proxy_delays_all_that_it_may_then_others_may_delay_as_many_again() -> None:
+    """Guards against proxies that use up the memory of delayed jobs, or the places of all others."""
+    sessions = sessions_with(FakeQueries())
+    delayed = []
+    for proxy in range(8):
+        sessions.on_proxy_joined(0.0, proxy, "one")
+        tickets = range(MAX_DELAYED_JOBS + 1)
+        delayed.append(sum(sessions.admit(1.0, proxy, job_submission(n)) is Admission.DELAYED for n in tickets))
+    assert delayed[:3] == [MAX_DELAYED_JOBS, MAX_DELAYED_JOBS // 2, MAX_DELAYED_JOBS // 4]
+    assert all(delayed)
+    assert sum(delayed) <= MAX_DELAYED_JOBS_OF_ALL
