Queries on runs of a proxy that has left are given up, not answered to its successor

What callers saw: a process that joined under the number of one that had left got 40 answers to queries that it had not sent, under query numbers that it may use itself. Cause: pending queries are kept by proxy number, and the service was not told that the proxy had left. Evidence: the answers carry the query numbers of the process that left, 1.5 s after its end, the time-out of a query.

Change: on_proxy_left drops them and gives the queries up; ends of runs are still reported, without an answer.

Measured: test_runs_when_their_proxy_has_left_... failed before (41 answers instead of 1), passes.

--- a/corallanding/controller/cluster.py
+++ b/corallanding/controller/cluster.py
@@ -125,6 +125,7 @@
         # Services that depend on records come before them, and records come after the tasks.
         services = (self.quota, self.tasks, self.pinning, self.scheduling, self.records)
         self.services: list[ClusterService] = [service for service in services if service]
+        self.proxy_services = [service for service in (self.pinning, self.scheduling) if service]
         for service in self.services:
             self.dispatcher.register(service.message_types, service.on_message, service.is_valid)
 
@@ -139,14 +140,13 @@
 
     def on_proxy_joined(self, proxy: int) -> None:
         """Notify services that a proxy has received its tables."""
-        for service in (self.pinning, self.scheduling):
-            if service:
-                service.on_proxy_joined(proxy)
+        for service in self.proxy_services:
+            service.on_proxy_joined(proxy)
 
     def on_proxy_left(self, proxy: int) -> None:
         """Notify services that the connection to a proxy has ended."""
-        if self.scheduling:
-            self.scheduling.on_proxy_left(proxy)
+        for service in self.proxy_services:
+            service.on_proxy_left(proxy)
 
     def release_files(self) -> None:
         """Close the files that the successor process opens."""
--- a/corallanding/controller/pinning_service.py
+++ b/corallanding/controller/pinning_service.py
@@ -27,11 +27,12 @@
 
 
 class PendingRun(NamedTuple):
-    """A query of a proxy on a run. query: its number, assigned by the proxy."""
+    """A query of a proxy on a run. query: its number, assigned by the proxy. has_ended: it reports the run's end."""
 
     proxy: int
     query: int
     run: str
+    has_ended: bool
 
 
 class PlanStamp(NamedTuple):
@@ -116,9 +117,18 @@
         client = frame.client or str(proxy)
         now_ms = self.context.clock()
         number = self.core.request_run(now_ms, record_key_of(frame.run), client, has_ended=frame.is_ended)
-        self.pending[number] = PendingRun(proxy, frame.query, frame.run)
+        self.pending[number] = PendingRun(proxy, frame.query, frame.run, frame.is_ended)
         self.records.schedule_queries()
 
+    def on_proxy_left(self, proxy: int) -> None:
+        """Give up the queries of a proxy that has left: another process may have its number when they are answered.
+
+        Ends of runs are still reported.
+        """
+        for number in [number for number, pending in self.pending.items() if pending.proxy == proxy]:
+            if not self.pending.pop(number).has_ended:
+                self.core.queries.cancel(number)
+
     def on_answers(self) -> None:
         """Forward answers of the core to the proxies that sent the queries."""
         for result in self.core.take_answers():
--- a/tests/controller/test_departed_proxies.py
+++ b/tests/controller/test_departed_proxies.py
@@ -28,6 +28,7 @@
 RELEASES_PER_SECOND = 200
 SETTLE_SECONDS = 1.0  # several ticks and announcements of a controller with a majority
 MAJORITY_TIMEOUT_SECONDS = 20.0
+RUN_ANSWER_SECONDS = 2.5  # a query without a majority is answered after 1.5 s
 MOMENT_SECONDS = 0.1
 FEATURES = 3  # workflow runs and queued jobs
 
@@ -214,6 +215,24 @@
     asyncio.run(scenario())
 
 
+def test_runs_when_their_proxy_has_left_then_its_next_process_gets_no_answers_to_them(tmp_path: Path) -> None:
+    """Guards against answers by the number of a proxy, which another process may have by then."""
+
+    async def scenario() -> None:
+        async with controllers(tmp_path) as fleet:
+            gone = await fleet.connect("first")
+            gone.send(*(frames.RunQuery(number, f"run-{number}") for number in range(JOB_COUNT)))
+            await gone.writer.drain()
+            gone.writer.close()
+            back = await fleet.connect("second")
+            back.send(frames.RunQuery(JOB_COUNT, "its-own"))
+            for _ in range(round(RUN_ANSWER_SECONDS / MOMENT_SECONDS)):
+                await read_for_a_moment(back)
+            assert [frame.query for frame in back.received if isinstance(frame, frames.RunVersions)] == [JOB_COUNT]
+
+    asyncio.run(scenario())
+
+
 def test_jobs_when_their_connection_is_reset_then_what_was_not_read_is_dropped(tmp_path: Path) -> None:
     """Guards against frames that are handled, and jobs that are released, after their connection has ended."""
 
