An idempotency key is known for the longest wait after its job was released

What callers saw: a key whose client left after its job had run, and came again 1 s later, was released a second time. Cause: records were kept by the age of their job, so that a job that had waited for long left its key for a moment only; one that waited for longer was released under a claim whose record was gone.

Change: retention counts from the last write; a claim older than the longest wait is asked for again before the release, and the record is written again once half of its retention has passed. ProposedRecord moves beside the other state of a proposer.

--- a/corallanding/controller/job_terms.py
+++ b/corallanding/controller/job_terms.py
@@ -41,9 +41,22 @@
     return classes
 
 
+def max_wait_ms(config: ControllerConfig) -> float:
+    """Return the longest wait of any request class; records of idempotency keys are kept for twice that time."""
+    return max((operation.waits.most_ms for operation in config.operation.values() if operation.waits), default=0.0)
+
+
 def scheduling_limits(config: ControllerConfig) -> SchedulingLimits:
     """Return the limits for the core, from the block `waiting` and the budget of releases."""
-    block, rate = config.waiting, float(config.budget[RELEASES].whole)
+    block = config.waiting
     return SchedulingLimits(
-        block.tell_ms, block.stale_ms, block.slack_ms, block.hold_ms, block.rise, rate, block.batch, block.claims_most
+        announce_interval_ms=block.tell_ms,
+        peer_timeout_ms=block.stale_ms,
+        order_slack_ms=block.slack_ms,
+        blocked_ms=block.hold_ms,
+        retirement_boost=block.rise,
+        dispatches_per_second=float(config.budget[RELEASES].whole),
+        max_dispatches_per_tick=block.batch,
+        max_claims_in_flight=block.claims_most,
+        max_claim_age_ms=max_wait_ms(config),
     )
--- a/corallanding/controller/record_groups.py
+++ b/corallanding/controller/record_groups.py
@@ -11,6 +11,7 @@
 from ..quorum_records.fleet import RecordTaskGroups
 from ..quorum_records.limits import RecordLimits
 from ..version_pinning.core import RELEASE_TASK, RUNS_TASK_GROUP, run_record_limits
+from .job_terms import max_wait_ms
 from .pinning_service import pinning_limits
 from .record_service import RecordGroups
 
@@ -30,11 +31,9 @@
 
 def _record_limits(config: ControllerConfig, block: RecordsBlock) -> RecordLimits:
     """Return the limits of records: kept for twice the longest wait of a job, and as long as pinned runs need."""
-    waits = [operation.waits.most_ms for operation in config.operation.values() if operation.waits]
-    max_wait_ms = max(waits, default=0.0)
-    retention_ms = 2.0 * max_wait_ms
+    retention_ms = 2.0 * max_wait_ms(config)
     if config.pins is None:
-        return RecordLimits(retention_ms, max_wait_ms, block.most, block.again_ms)
+        return RecordLimits(retention_ms, max_wait_ms(config), block.most, block.again_ms)
     limits = pinning_limits(config.pins, config.budgets.drift)
     run_limits = run_record_limits(limits, block.most, block.again_ms)
     return replace(run_limits, retention_ms=max(run_limits.retention_ms, retention_ms))
--- a/corallanding/controller/record_store.py
+++ b/corallanding/controller/record_store.py
@@ -87,7 +87,8 @@
         clocks = self._read_clocks()
         for group, key, value, token, number, created_at_ms, wall_ms in db.execute("select * from record"):
             age_ms = max(0.0, clocks.since_boot_ms - created_at_ms if self.is_same_boot else clocks.wall_ms - wall_ms)
-            replica.put(group, key, value, Ballot(token, number), clocks.own_ms - age_ms)
+            # The file does not contain when a record was written last: it is kept as if that were now.
+            replica.put(group, key, value, Ballot(token, number), clocks.own_ms - age_ms, clocks.own_ms)
         for group, token in db.execute("select * from seen"):
             replica.raise_token(group, token)
         replica.take_unsaved()
--- a/corallanding/quorum_records/core.py
+++ b/corallanding/quorum_records/core.py
@@ -170,7 +170,7 @@
             if proposer.group in self.replica.permanent_groups:
                 continue
             for key, record in list(proposer.records.items()):
-                if now_ms - record.created_at_ms > self.limits.retention_ms:
+                if now_ms - record.changed_at_ms > self.limits.retention_ms:
                     proposer.forget(key)
 
     def deliver(self, now_ms: float, messages: list[OutgoingMessage]) -> list[Action]:
--- a/corallanding/quorum_records/limits.py
+++ b/corallanding/quorum_records/limits.py
@@ -9,7 +9,8 @@
 class RecordLimits:
     """Bounds and timings of the records of one group set.
 
-    retention_ms: age at which a record is deleted. counted_ms: age up to which the value of a record is counted.
+    retention_ms: time since its last write after which a record is deleted. counted_ms: age up to which the value of a
+    record is counted.
     max_records: capacity of one replica. retry_ms: delay before an unanswered message is sent again. max_writes:
     concurrent writes of one group. announce_interval_ms: time between two announcements of a replica's file.
     max_pages_read: pages of one group that a proposer reads from one replica.
--- a/corallanding/quorum_records/progress.py
+++ b/corallanding/quorum_records/progress.py
@@ -1,9 +1,11 @@
-"""Progress of a proposer's reads and writes, and of the reads of a recovering replica."""
+"""Records as a proposer knows them, the progress of its reads and writes, and of the reads of a recovering replica."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
+from .stored_rows import Ballot
+
 NEVER = float("-inf")
 
 
@@ -38,3 +40,28 @@
     requested_at_ms: float = NEVER
     is_recovering: bool = False  # the other replica has lost its own records
     is_done: bool = False
+
+
+@dataclass(slots=True)
+class ProposedRecord:
+    """A record as its proposer knows it.
+
+    read_ballot: ballot under which it was read; None if this proposer wrote it. round: round of its accept messages, 0
+    before they are sent. votes: bit mask of the replicas that have stored it under this ballot. is_decided: they are a
+    quorum. is_initial: the record is new and has not been reported to any client. written_at_ms: when this proposer
+    wrote it last, or had read a quorum.
+    """
+
+    value: int
+    created_at_ms: float
+    read_ballot: Ballot | None = None
+    round: int = 0
+    votes: int = 0
+    is_decided: bool = False
+    is_initial: bool = False
+    written_at_ms: float = NEVER
+
+    @property
+    def changed_at_ms(self) -> float:
+        """Return the time from which the retention of the record counts."""
+        return max(self.created_at_ms, self.written_at_ms)
--- a/corallanding/quorum_records/proposer.py
+++ b/corallanding/quorum_records/proposer.py
@@ -11,28 +11,10 @@
 from ..wire.peer_messages import OutgoingMessage
 from .limits import RecordLimits
 from .messages import MAX_ACCEPT_ROWS, Accept, AcceptReply, Prepare, PrepareReply, RecordRow, ReplicaStatus
-from .progress import ReadProgress, WriteInFlight
+from .progress import ProposedRecord, ReadProgress, WriteInFlight
 from .stored_rows import Ballot
 
 
-@dataclass(slots=True)
-class ProposedRecord:
-    """A record as its proposer knows it.
-
-    read_ballot: ballot under which it was read; None if this proposer wrote it. round: round of its accept messages, 0
-    before they are sent. votes: bit mask of the replicas that have stored it under this ballot. is_decided: they are a
-    quorum. is_initial: the record is new and has not been reported to any client.
-    """
-
-    value: int
-    created_at_ms: float
-    read_ballot: Ballot | None = None
-    round: int = 0
-    votes: int = 0
-    is_decided: bool = False
-    is_initial: bool = False
-
-
 @dataclass
 class Proposer:
     """Reads and writes the records of one group.
@@ -71,21 +53,39 @@
         """Return the record as a quorum stores it; None if there is none. Valid only once `is_ready`."""
         return self.records.get(key)
 
-    def write(self, _now_ms: float, key: int, value: int, created_at_ms: float, *, is_initial: bool = True) -> bool:
+    def write(self, now_ms: float, key: int, value: int, created_at_ms: float, *, is_initial: bool = True) -> bool:
         """Start to write a record, replacing an earlier value; return False if it cannot be written now."""
-        pending = len(self.write_queue) + len(self.in_flight) * MAX_ACCEPT_ROWS
-        if not self.is_ready or self.superseded_by or pending >= self.limits.max_writes:
-            return False
         known = self.records.get(key)
+        if known and known.value == value and (known.is_decided or known.read_ballot is None):
+            return self._can_write
+        if not self._can_write:
+            return False
         if known is None:
-            self.records[key] = ProposedRecord(value, created_at_ms, is_initial=is_initial)
-        elif known.value == value and (known.is_decided or known.read_ballot is None):
-            return True
+            record = ProposedRecord(value, created_at_ms, is_initial=is_initial, written_at_ms=now_ms)
         else:
-            self.records[key] = ProposedRecord(value, known.created_at_ms)
+            record = ProposedRecord(value, known.created_at_ms, written_at_ms=now_ms)
+        self.records[key] = record
         self.write_queue.append(key)
         return True
 
+    @property
+    def _can_write(self) -> bool:
+        pending = len(self.write_queue) + len(self.in_flight) * MAX_ACCEPT_ROWS
+        return self.is_ready and not self.superseded_by and pending < self.limits.max_writes
+
+    def renew(self, now_ms: float, key: int) -> bool:
+        """Start to write a record again if half of its retention has passed since its last write.
+
+        Return whether a write was due, also if it cannot start now.
+        """
+        known = self.records[key]
+        if now_ms - known.changed_at_ms <= self.limits.retention_ms / 2.0:
+            return False
+        if self._can_write:
+            self.records[key] = ProposedRecord(known.value, known.created_at_ms, written_at_ms=now_ms)
+            self.write_queue.append(key)
+        return True
+
     def confirm(self, now_ms: float, key: int) -> bool:
         """Return whether a quorum has the record; if it was read from fewer replicas, start to write it again."""
         record = self.records[key]
@@ -180,15 +180,16 @@
             progress.round = 0
             return [self.prepare(now_ms, replica_id, progress)]
         progress.is_done = not message.has_more
-        self._become_ready_if_read()
+        self._become_ready_if_read(now_ms)
         return []
 
-    def _become_ready_if_read(self) -> None:
+    def _become_ready_if_read(self, now_ms: float) -> None:
         """Enable writes once a quorum has been read."""
         if sum(progress.is_done for progress in self.reads.values()) >= self.quorum_size:
             self.is_ready = True
             for record in self.records.values():
                 record.is_decided = record.votes.bit_count() >= self.quorum_size
+                record.written_at_ms = now_ms
 
     def merge_read(self, replica_id: int, key: int, value: int, created_at_ms: float, ballot: Ballot) -> None:
         """Merge a record read from one replica: the highest ballot wins."""
--- a/corallanding/quorum_records/replica.py
+++ b/corallanding/quorum_records/replica.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_right
 from collections import Counter
 from collections.abc import Callable
@@ -19,12 +20,16 @@
 
 @dataclass(slots=True)
 class ReplicaRecord:
-    """A stored record. created_at_ms: by this controller's clock. is_counted: included in `Replica.value_counts`."""
+    """A stored record. Times are by this controller's clock.
+
+    is_counted: included in `Replica.value_counts`. written_at_ms: when it was written last, or read from the file.
+    """
 
     value: int
     ballot: Ballot
     created_at_ms: float
     is_counted: bool = True
+    written_at_ms: float = -math.inf
 
 
 @dataclass
@@ -90,7 +95,7 @@
             self.raise_token(message.group, message.fencing_token)
             ballot = Ballot(message.fencing_token, message.round)
             for key, value, age_ms in message.rows:
-                self.put(message.group, key, value, ballot, now_ms - age_ms)
+                self.put(message.group, key, value, ballot, now_ms - age_ms, now_ms)
         else:
             self.rejected_count += 1
         highest_token = self.highest_tokens.get(message.group, 0)
@@ -147,7 +152,15 @@
 
     # ---- records -------------------------------------------------------------------------------------------
 
-    def put(self, group: int, key: int, value: int, ballot: Ballot, created_at_ms: float) -> None:
+    def put(
+        self,
+        group: int,
+        key: int,
+        value: int,
+        ballot: Ballot,
+        created_at_ms: float,
+        written_at_ms: float = -math.inf,
+    ) -> None:
         """Store a record, unless it is already stored with a higher ballot."""
         records = self.groups.setdefault(group, {})
         record = records.get(key)
@@ -164,6 +177,7 @@
             record.is_counted = True
         else:
             return
+        record.written_at_ms = written_at_ms
         self.add_to_count(group, value, 1)
         self.unsaved.rows.append(UnsavedRow(group, key, value, *ballot, record.created_at_ms))
 
@@ -196,7 +210,7 @@
             if record.is_counted and age_ms > self.limits.counted_ms:
                 record.is_counted = False
                 self.add_to_count(group, record.value, -1)
-            if age_ms > self.limits.retention_ms:
+            if now_ms - max(record.created_at_ms, record.written_at_ms) > self.limits.retention_ms:
                 del records[key]
                 self.record_count -= 1
                 self.unsaved.deleted_keys.append((group, key))
--- a/corallanding/quorum_records/replica_recovery.py
+++ b/corallanding/quorum_records/replica_recovery.py
@@ -141,7 +141,7 @@
         group = self.groups[progress.group_index]
         self.replica.raise_token(group, message.highest_token)
         for key, value, age_ms, fencing_token, round_ in message.rows:
-            self.replica.put(group, key, value, Ballot(fencing_token, round_), now_ms - age_ms)
+            self.replica.put(group, key, value, Ballot(fencing_token, round_), now_ms - age_ms, now_ms)
         progress.round = 0
         if message.has_more and message.rows:
             progress.after_key = message.rows[-1].key
--- a/corallanding/scheduling/core.py
+++ b/corallanding/scheduling/core.py
@@ -167,7 +167,7 @@
                 self.starved_since_ms = None
                 break
             priority, job = highest
-            if job.idempotency_key and not job.has_claim:
+            if job.needs_claim(now_ms, self.limits.max_claim_age_ms):
                 if self.claims_in_flight >= self.limits.max_claims_in_flight:
                     break
                 claim = self.start_claim(job)
@@ -207,9 +207,8 @@
     def on_claim_result(self, now_ms: float, job: Job, outcome: ClaimOutcome) -> bool:
         """Handle the outcome of a claim; return True if the claim must be released.
 
-        It must be released only if the client abandoned the job. A job whose proxy was lost is submitted to another
-        controller, which is granted the same claim and may have dispatched the job. A job with an unknown outcome is
-        blocked for `blocked_ms`, so that others can be dispatched.
+        It must be released only if the client abandoned the job: one whose proxy was lost may have been dispatched by
+        another controller under the same claim. After an unknown outcome the job is blocked for `blocked_ms`.
         """
         if not self._is_queued(job) or job.state is not JobState.CLAIMING:
             return outcome is ClaimOutcome.GRANTED and job.is_abandoned
@@ -218,6 +217,7 @@
             return False
         self.claims_in_flight -= 1
         job.has_claim = outcome is ClaimOutcome.GRANTED
+        job.claimed_at_ms = now_ms
         if job.has_claim:
             self.queue.make_ready(job)
         else:
--- a/corallanding/scheduling/idempotency.py
+++ b/corallanding/scheduling/idempotency.py
@@ -10,7 +10,8 @@
 from enum import IntEnum
 
 from ..quorum_records.messages import ReplicaStatus
-from ..quorum_records.proposer import ProposedRecord, Proposer
+from ..quorum_records.progress import ProposedRecord
+from ..quorum_records.proposer import Proposer
 from ..quorum_records.queries import Outcome, Queries
 from .actions import ClaimOutcome
 from .queue import Job
@@ -108,8 +109,11 @@
         if record.value == NO_OWNER:
             proposer.write(now_ms, key, owner, record.created_at_ms, is_initial=False)
             return None
-        status = KeyStatus.GRANTED if record.value == owner else KeyStatus.DUPLICATE
-        return Outcome(status, NO_VALUE)
+        if record.value != owner:
+            return Outcome(KeyStatus.DUPLICATE, NO_VALUE)
+        if proposer.renew(now_ms, key):
+            return None
+        return Outcome(KeyStatus.GRANTED, NO_VALUE)
 
     def on_write_denied(self, reason: int) -> Outcome | None:
         """Answer a query whose record a majority did not accept; None if the query is to be handled again."""
--- a/corallanding/scheduling/limits.py
+++ b/corallanding/scheduling/limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -37,7 +38,8 @@
     `order_slack_ms` of waiting. For `blocked_ms` the jobs of a controller without permits still delay those of others,
     and a job whose idempotency key could not be claimed is blocked. Jobs of a workflow run that keeps a release set
     from retirement gain `retirement_boost` in priority. The fleet dispatches `dispatches_per_second`; one controller at
-    most `max_dispatches_per_tick`, with `max_claims_in_flight` unanswered claims.
+    most `max_dispatches_per_tick`, with `max_claims_in_flight` unanswered claims. A claim is asked for again after
+    `max_claim_age_ms`, as the record of the key is kept for a limited time.
     """
 
     announce_interval_ms: float = 100.0
@@ -48,6 +50,7 @@
     dispatches_per_second: float = 10.0
     max_dispatches_per_tick: int = 64
     max_claims_in_flight: int = 256
+    max_claim_age_ms: float = math.inf
 
     def order_slack(self, job_classes: Iterable[JobClass]) -> float:
         """Return `order_slack_ms` as a difference in priority, by the class that ages fastest."""
--- a/corallanding/scheduling/queue.py
+++ b/corallanding/scheduling/queue.py
@@ -26,7 +26,8 @@
 
     `ticket` is the proxy's number for it. `waiting_since_ms` is when it began to wait, at any controller, on this
     controller's clock. `idempotency_key` is the number of its key, `release_set` the set that its workflow run is
-    pinned to; 0 means none. `has_claim`: the job owns its idempotency key. `is_abandoned`: its client gave it up.
+    pinned to; 0 means none. `has_claim`: the job owns its idempotency key, by an answer of
+    `claimed_at_ms`. `is_abandoned`: its client gave it up.
     `heap_entry` is the number of its valid entry in the heap of its group; entries with lower numbers are ignored.
     """
 
@@ -40,9 +41,15 @@
     state: JobState = JobState.READY
     is_boosted: bool = False
     has_claim: bool = False
+    claimed_at_ms: float = 0.0
     is_abandoned: bool = False
     heap_entry: int = 0
 
+    def needs_claim(self, now_ms: float, max_claim_age_ms: float) -> bool:
+        """Return whether its idempotency key has to be claimed, or claimed again, before the job is dispatched."""
+        is_claimed = self.has_claim and now_ms - self.claimed_at_ms <= max_claim_age_ms
+        return bool(self.idempotency_key) and not is_claimed
+
     @property
     def group(self) -> int:
         """The group of jobs that age like this one."""
--- a/tests/controller/test_departed_proxies.py
+++ b/tests/controller/test_departed_proxies.py
@@ -26,6 +26,7 @@
 TICKETS_OF_A_PROCESS = 1_000
 PROXY = 5
 RELEASES_PER_SECOND = 200
+LONGEST_WAIT_MS = 40_000
 SETTLE_SECONDS = 1.0  # several ticks and announcements of a controller with a majority
 MAJORITY_TIMEOUT_SECONDS = 20.0
 RUN_ANSWER_SECONDS = 2.5  # a query without a majority is answered after 1.5 s
@@ -55,12 +56,13 @@
   latency_objective_ms = 1200
   integration_timeout_ms = 3000
   waits {
-    most_ms = 40000
+    most_ms = %(longest_wait_ms)d
   }
 }
 forwarders {
   count = 2
   ack_within_ms = 60000
+  silence_ms = 60000
   again_ms = 1
   again_most_ms = 1
 }
@@ -69,11 +71,22 @@
   per = "fleet"
   unit = "per_s"
 }
-task "release" {}
-task_group "runs" {
+task_group "jobs" {
   count = 2
 }
-task_group "jobs" {
+waiting {
+  witness = "%(folder)s/waits.jsonl"
+}
+records {
+  path = "%(folder)s/records.db"
+  witness = "%(folder)s/records.jsonl"
+}
+"""
+
+
+PINNED_RUNS = """
+task "release" {}
+task_group "runs" {
   count = 2
 }
 release "one" {
@@ -85,20 +98,18 @@
 pins {
   current = 1
 }
-waiting {
-  witness = "%(folder)s/waits.jsonl"
-}
-records {
-  path = "%(folder)s/records.db"
-  witness = "%(folder)s/records.jsonl"
-}
 """
 
 
 class Fleet:
     """Three controllers: the first one runs alone until `start_others`."""
 
-    def __init__(self, folder: Path, stack: contextlib.AsyncExitStack) -> None:
+    def __init__(
+        self, folder: Path, stack: contextlib.AsyncExitStack, text: str, longest_wait_ms: int, releases_per_second: int
+    ) -> None:
+        self.text = text
+        self.longest_wait_ms = longest_wait_ms
+        self.releases_per_second = releases_per_second
         self.stack = stack
         self.folders = [folder / str(number) for number in range(3)]
         self.peer_addresses = [free_address() for _ in range(3)]
@@ -107,13 +118,14 @@
     def config(self, number: int, listen: str) -> str:
         others = {str(peer): self.peer_addresses[peer] for peer in range(3) if peer != number}
         peers = "{ " + ", ".join(f'"{peer}" = "{address}"' for peer, address in others.items()) + " }"
-        return CONFIG % {
+        return self.text % {
             "listen": listen,
             "number": number,
             "peer_listen": self.peer_addresses[number],
             "peers": peers,
             "folder": self.folders[number],
-            "releases": RELEASES_PER_SECOND,
+            "releases": self.releases_per_second,
+            "longest_wait_ms": self.longest_wait_ms,
         }
 
     async def start(self, number: int, listen: str) -> None:
@@ -142,9 +154,14 @@
 
 
 @contextlib.asynccontextmanager
-async def controllers(folder: Path) -> AsyncIterator[Fleet]:
+async def controllers(
+    folder: Path,
+    text: str = CONFIG + PINNED_RUNS,
+    longest_wait_ms: int = LONGEST_WAIT_MS,
+    releases_per_second: int = RELEASES_PER_SECOND,
+) -> AsyncIterator[Fleet]:
     async with contextlib.AsyncExitStack() as stack:
-        fleet = Fleet(folder, stack)
+        fleet = Fleet(folder, stack, text, longest_wait_ms, releases_per_second)
         await fleet.start(0, fleet.address)
         yield fleet
 
@@ -172,6 +189,14 @@
     peer.send(frames.Heartbeat())
 
 
+async def heartbeat_until_known(peer: RawProxyConnection) -> None:
+    """Send jobs with new keys until one is released, which shows that there is a majority."""
+    ticket = TICKETS_OF_A_PROCESS - 1
+    peer.send(frames.JobSubmission(ticket, 0, 1.0, "first-key"))
+    await heartbeat_until_released(peer, 1)
+    peer.received.clear()
+
+
 async def heartbeat_until_released(peer: RawProxyConnection, count: int) -> None:
     """Send heartbeats until that many jobs were released, and a while longer."""
 
@@ -275,3 +300,34 @@
             assert set(range(JOB_COUNT)) <= set(released)
 
     asyncio.run(scenario())
+
+
+def test_key_when_its_job_waited_for_long_then_it_is_still_known_after_its_release(tmp_path: Path) -> None:
+    """Guards against a key that is known for some time since its job began to wait, not since its release.
+
+    The last of the jobs waits for nearly as long as a key was known. Its client leaves, comes again half of the longest
+    wait after the release, and must be told that the job was released.
+    """
+
+    async def scenario() -> None:
+        longest_wait_ms, releases_per_second, job_count = 2_000, 4, 14
+        async with controllers(tmp_path, CONFIG, longest_wait_ms, releases_per_second) as fleet:
+            await fleet.start_others()
+            peer = await fleet.connect("first")
+            await heartbeat_until_known(peer)
+            peer.send(*(frames.JobSubmission(ticket, 0, 1.0, f"key-{ticket}") for ticket in range(job_count)))
+            while len(released_tickets(peer)) < job_count:
+                await read_for_a_moment(peer)
+            await leave(peer)
+            again = await fleet.connect("second")
+            for _ in range(round(longest_wait_ms / 2_000.0 / MOMENT_SECONDS)):
+                await read_for_a_moment(again)
+            first_ticket = TICKETS_OF_A_PROCESS
+            again.send(
+                *(frames.JobSubmission(first_ticket + n, 0, 1.0, f"key-{n}") for n in range(job_count - 4, job_count))
+            )
+            await heartbeat_until_released(again, 4)
+            answers = [frame.outcome for frame in again.received if isinstance(frame, frames.JobRelease)]
+            assert answers == ["twin"] * 4
+
+    asyncio.run(scenario())
--- a/tests/version_pinning/support.py
+++ b/tests/version_pinning/support.py
@@ -11,7 +11,8 @@
 from corallanding.lab.stewards.walk import Walk
 from corallanding.lab.stewards.world import troubled
 from corallanding.quorum_records.core import Persist, QuorumRecords
-from corallanding.quorum_records.proposer import ProposedRecord, Proposer
+from corallanding.quorum_records.progress import ProposedRecord
+from corallanding.quorum_records.proposer import Proposer
 from corallanding.quorum_records.replica import Replica
 from corallanding.version_pinning import rollout
 from corallanding.version_pinning.messages import RunStatus
