--- a/corallanding/lab/fleet/emulate.py
+++ b/corallanding/lab/fleet/emulate.py
@@ -25,7 +25,8 @@
 from ..runner import Lab
 from ..scenario import LoadReportsTraffic, Scenario
 from ..scenario_text import steward_hcl
-from .loop import DEFAULT_LATENCY_S, Machine, SimLoop, run
+from .loop import DEFAULT_LATENCY_S, SimLoop, run
+from .machine import Machine
 from .recorded import RecordedDay, generate_arrivals
 from .steward import InMemoryStore, SimController
 
--- a/corallanding/lab/fleet/steward.py
+++ b/corallanding/lab/fleet/steward.py
@@ -19,7 +19,8 @@
 from ...load_reports.receivers import DatagramReceiver
 from ...load_reports.state import FeedState
 from ...store import StoreContents, StoreError, StoreLockedError, TableEntry
-from .loop import Machine, Server, SimLoop, Stream
+from .loop import SimLoop
+from .machine import Machine, Server, Stream
 
 if TYPE_CHECKING:
     from .registry import LocalRegistry
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -17,7 +17,8 @@
 from corallanding.cli.main import app
 from corallanding.lab.chance import at, uniform
 from corallanding.lab.fleet.emulate import NotEmulatedError, emulate
-from corallanding.lab.fleet.loop import Machine, SimLoop, run
+from corallanding.lab.fleet.loop import SimLoop, run
+from corallanding.lab.fleet.machine import Machine
 from corallanding.lab.fleet.steward import InMemoryStore, StoreHandle
 from corallanding.lab.publishers import PUBLISHERS
 from corallanding.lab.scenario import Fault, load_scenario
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -58,7 +58,6 @@
         "lab/audit.py",
         "lab/fleet/commands.py",
         "lab/fleet/emulate.py",
-        "lab/fleet/loop.py",
         "lab/fleet/page.py",
         "lab/fleet/recorded.py",
         "lab/fleet/runs.py",
