A load report that is nested too deeply is rejected alone, not with all others of its interval

What callers saw: nothing yet; found while looking for unsound requests that harm others. One JSON body with 1,900 brackets made the intake drop the reports of all hosts that it was to send on in the same 50 ms. Cause: msgspec raises RecursionError, which is no DecodeError; json_errors names it, but load reports had lists of errors of their own.

Change: they use JSON_DECODE_ERRORS. Measured: the two new tests failed before with RecursionError, pass.

--- a/corallanding/load_reports/envelope.py
+++ b/corallanding/load_reports/envelope.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from ..json_errors import JSON_DECODE_ERRORS
 from .errors import InvalidReportError
 from .orca import MAX_ERROR_TEXT_CHARS, ReportedLoad, parse_json, parse_protobuf
 
@@ -29,6 +30,7 @@
 HEADER = struct.Struct(">2sBBIHQQdd8s")
 MAC_BYTES = 16
 NO_NONCE = b"\0" * 8
+ENVELOPE_ERRORS: tuple[type[Exception], ...] = (*JSON_DECODE_ERRORS, ValueError, struct.error)
 MIN_REPORT_BYTES = HEADER.size
 MAX_REPORT_BYTES = 4096
 
@@ -132,7 +134,7 @@
     if data[:1] == b"{":
         try:
             report = _json_decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except JSON_DECODE_ERRORS as error:
             raise InvalidReportError(str(error)[:MAX_ERROR_TEXT_CHARS]) from None
         return report.host, report.process
     if len(data) < HEADER.size or data[:2] != MAGIC:
@@ -147,7 +149,7 @@
         mac = bytes.fromhex(report.mac)
         header = ReportHeader(report.host, report.process, report.started, report.seq, report.uptime, report.at, nonce)
         signed_header = _pack_header(header, JSON_BODY | SIGNED)
-    except (msgspec.DecodeError, ValueError, struct.error, UnicodeDecodeError) as error:
+    except ENVELOPE_ERRORS as error:
         raise InvalidReportError(f"header: {error}"[:MAX_ERROR_TEXT_CHARS]) from None
     return _Envelope(header, signed_header, mac, bytes(report.orca), is_json=True)
 
--- a/corallanding/load_reports/orca.py
+++ b/corallanding/load_reports/orca.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..json_errors import JSON_DECODE_ERRORS
 from .errors import InvalidReportError
 
 MAX_UTILIZATION = 100.0
@@ -22,6 +23,7 @@
 """Names of the fields as in the proto file and in camel case."""
 
 _decoder = msgspec.json.Decoder(dict)
+BODY_ERRORS: tuple[type[Exception], ...] = (*JSON_DECODE_ERRORS, ValueError, TypeError)
 
 
 @dataclass(frozen=True)
@@ -54,7 +56,7 @@
     try:
         raw: dict[str, Any] = _decoder.decode(body)
         values = [float(raw.get(name, raw.get(camel_case, 0.0))) for name, camel_case in JSON_FIELDS]
-    except (msgspec.DecodeError, ValueError, TypeError, UnicodeDecodeError) as error:
+    except BODY_ERRORS as error:
         raise InvalidReportError(f"orca: {error}"[:MAX_ERROR_TEXT_CHARS]) from None
     return checked_load(*values)
 
--- a/tests/load_reports/test_envelope.py
+++ b/tests/load_reports/test_envelope.py
@@ -93,3 +93,14 @@
     assert as_json["orca"] == {"eps": 1}
     assert as_json["seq"] == 9
     assert msgspec.json.encode(as_json)
+
+
+def test_report_when_its_json_is_nested_too_deeply_then_it_is_rejected_like_any_other() -> None:
+    """Guards against an error of the decoder that is not one of malformed JSON."""
+    nested = b"[" * 1_900 + b"]" * 1_900
+    with pytest.raises(InvalidReportError):
+        read_sender(encode_json(HEADER_1, nested))
+    data = encode_binary(HEADER_1, b'{"cpu_utilization": ' + nested + b"}", is_json=True)
+    assert read_sender(data) == (7, 3)
+    with pytest.raises(InvalidReportError):
+        read_report(data, None)
--- a/tests/load_reports/test_streams.py
+++ b/tests/load_reports/test_streams.py
@@ -92,3 +92,23 @@
             assert intake.shedder.counts.invalid == 1
 
     asyncio.run(scenario())
+
+
+def test_reports_when_one_is_nested_too_deeply_then_the_others_of_its_interval_are_sent_on() -> None:
+    """Guards against one unsound report that loses those of all other hosts which are processed with it."""
+
+    async def scenario() -> None:
+        async with running_intake() as (intake, _):
+            sent: list[list[Any]] = []
+            intake.send = sent.append  # type: ignore[method-assign]
+            intake.shedder.set_hosts([LISTED_HOST, LISTED_HOST + 1])
+            nested = b'{"cpu_utilization": ' + b"[" * 1_900 + b"]" * 1_900 + b"}"
+            unsound = encode_binary(ReportHeader(LISTED_HOST + 1, 0, 0, 1, 1.0, 1.0), nested, is_json=True)
+            assert intake.on_report(unsound, None)
+            assert intake.on_report(report(1)[2:], None)
+            intake.process_waiting()
+            await until(lambda: sent)
+            assert [row[1] for row in sent[0][1]] == [LISTED_HOST]
+            intake.ended.set_result(None)
+
+    asyncio.run(scenario())
