A connection with far too many reports is closed; waiting data goes with its peer

What callers saw: the reports of a client that had closed its connection were handled for 3.3 s more (unsound ones), 0.5 s (ever new names). Cause: nothing limited the reports of one connection, so that megabytes were unread when it left. Evidence: checking the state of the connection at each piece alone changed nothing; the end of the connection arrives behind the data.

Change: more than ten times the site's rate (2,000 a second at least) closes a connection, counted as 'too many reports'; data that had to wait is dropped if the peer has closed its end.

--- a/corallanding/collector/server.py
+++ b/corallanding/collector/server.py
@@ -18,6 +18,10 @@
 IDENTIFICATION_TIMEOUT_MS = 1_000.0
 MAX_PENDING_HEARTBEATS = 16  # unanswered requests counted for one connection; further ones get no answer
 MAX_HEARTBEATS_PER_SECOND = 100.0  # of one connection; it is also the largest burst
+MIN_REPORTS_PER_SECOND = 2_000.0
+MAX_REPORT_RATE_FACTOR = 10.0
+"""Reports that one connection may send, as a multiple of the rate of the whole site; at least the number above."""
+
 LISTEN_BACKLOG = 1024
 ACCEPTED_PER_SECOND = 2_000.0
 
@@ -30,11 +34,14 @@
 class CollectorConnection(ScheduledConnection):
     """One connection: a collector's, or one of a peer that has not identified itself."""
 
+    is_dropped_with_peer = True
+
     def __init__(self, server: CollectorServer) -> None:
         super().__init__(server.read_scheduler)
         self.server = server
         self.session = CollectorSession(server.intake)
         self.heartbeat_allowance = TokenBucket(MAX_HEARTBEATS_PER_SECOND, MAX_HEARTBEATS_PER_SECOND, monotonic_ms())
+        self.report_allowance = TokenBucket(server.max_report_rate, server.max_report_rate, monotonic_ms())
         self.pending_heartbeats = 0
         self.identification_timeout: ReadTimeout | None = None
 
@@ -56,8 +63,11 @@
 
     def on_data(self, data: bytes) -> None:
         """Deliver reports, answer heartbeats, and close the connection if the peer breaks the protocol."""
-        result = self.session.feed(data, self.heartbeat_allowance.whole_tokens(monotonic_ms()))
+        now_ms = monotonic_ms()
+        max_heartbeats = self.heartbeat_allowance.whole_tokens(now_ms)
+        result = self.session.feed(data, max_heartbeats, self.report_allowance.whole_tokens(now_ms))
         self.heartbeat_allowance.tokens -= result.heartbeats
+        self.report_allowance.tokens -= result.report_count
         if self.session.zone is not None and self.identification_timeout:
             self.identification_timeout.cancel()
             self.identification_timeout = None
@@ -70,6 +80,10 @@
         if result.close_reason:
             self.close(result.close_reason, result.answer)
 
+    def on_peer_left(self) -> None:
+        """Close the connection of a peer that left before its data was processed, and count it."""
+        self.close("left with data unread")
+
     def on_identification_timeout(self) -> None:
         """Close the connection of an unidentified peer, unless the peer still waits for a heartbeat."""
         self.process_waiting_data()
@@ -130,6 +144,7 @@
     ) -> None:
         self.intake = intake
         self.read_scheduler = ReadScheduler(monotonic_ms)
+        self.max_report_rate = max(MIN_REPORTS_PER_SECOND, MAX_REPORT_RATE_FACTOR * intake.settings.reports_per_second)
         self.max_unidentified = max_unidentified
         self.max_per_zone = max_per_zone
         self.on_reports = on_reports
--- a/corallanding/collector/session.py
+++ b/corallanding/collector/session.py
@@ -24,13 +24,14 @@
 class FeedResult:
     """The result of processing received bytes.
 
-    `heartbeats` counts the requests that the owner has to answer. If `close_reason` is not None, the
-    connection ends after `answer` is sent.
+    `heartbeats` counts the requests that the owner has to answer, `report_count` all reports, also rejected ones. If
+    `close_reason` is not None, the connection ends after `answer` is sent.
     """
 
     reports: list[UsageReport] = field(default_factory=list)
     answer: bytes = b""
     heartbeats: int = 0
+    report_count: int = 0
     close_reason: str | None = None
 
 
@@ -42,12 +43,14 @@
         self.reader = Reader(MAX_UNIDENTIFIED_BYTES)
         self.zone: int | None = None
 
-    def feed(self, data: bytes, max_heartbeats: int = sys.maxsize) -> FeedResult:
-        """Process received bytes and return their result. With more than `max_heartbeats` requests, reject the peer."""
+    def feed(self, data: bytes, max_heartbeats: int = sys.maxsize, max_reports: int = sys.maxsize) -> FeedResult:
+        """Process received bytes and return their result. The connection ends at the first message beyond a maximum."""
         result = FeedResult()
         for strings in self.reader.messages(data):
             if strings[0] == HEARTBEAT_REQUEST:
                 self._on_heartbeat(max_heartbeats, result)
+            elif result.report_count >= max_reports:
+                result.close_reason = "too many reports"
             elif self.zone is None:
                 self.identify(strings, result)
             else:
@@ -82,6 +85,7 @@
         result.answer += REJECT
 
     def _on_report(self, strings: list[bytes], result: FeedResult) -> None:
+        result.report_count += 1
         try:
             result.reports.append(self.intake.parse_report(strings))
             self.intake.accepted += 1
--- a/tests/hostile_runs.py
+++ b/tests/hostile_runs.py
@@ -94,6 +94,12 @@
     return next(int(line.split()[1]) / 1024.0 for line in lines if line.startswith("VmHWM"))
 
 
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 def port_of(address: str) -> int:
     return int(address.rpartition(":")[2])
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -11,6 +11,7 @@
 from tests.hostile_runs import (
     HostileRun,
     Program,
+    cpu_seconds,
     intake_pid,
     platform_program,
     run_hostile_clients,
@@ -28,6 +29,12 @@
 MAX_ANSWER_SECONDS = 1.0
 """Longest wait of another client: the time within which a peer of `run` has to identify itself."""
 
+LEAVING_SECONDS = 0.5
+"""Time in which a program notices that a client has left."""
+
+MAX_IDLE_CPU_SECONDS = 0.3
+"""Processor time of a program that has nothing to do, in `FLOOD_SECONDS`."""
+
 PROXY_CROWDS = ["frame-half", "frame-half-joined", "frame-slow", "frame-short-fields", "frame-short-rows"]
 PROXY_FLOODS = [
     "frame-beats",
@@ -114,6 +121,21 @@
     asyncio.run(scenario())
 
 
+def test_collector_when_it_leaves_with_much_unread_then_its_reports_are_dropped(tmp_path: Path) -> None:
+    """Guards against reports of a peer that has left, which are handled for as long as it has sent them."""
+
+    async def scenario() -> None:
+        async with platform_program(tmp_path) as program:
+            for kind in ("report-unsound", "report-new-names"):
+                run = await run_hostile_clients(program, kind, 1, FLOOD_SECONDS)
+                await asyncio.sleep(LEAVING_SECONDS)
+                cpu_before = cpu_seconds(program.pid)
+                await asyncio.sleep(FLOOD_SECONDS)
+                assert cpu_seconds(program.pid) - cpu_before <= MAX_IDLE_CPU_SECONDS, str(run)
+
+    asyncio.run(scenario())
+
+
 def test_load_reports_when_clients_are_hostile_then_others_are_answered_and_memory_is_bounded(tmp_path: Path) -> None:
     """Guards against streams of empty reports, each of which costs more than the two bytes that it takes."""
 
