--- a/tests/collector/test_session.py
+++ b/tests/collector/test_session.py
@@ -114,3 +114,18 @@
 def test_heartbeat_when_requested_on_any_connection_then_it_is_owed() -> None:
     assert CollectorSession(report_intake(set())).feed(encode(["hb"]) * 2).heartbeats == 2
     assert collector_session(report_intake(set())).feed(encode(["hb"])).heartbeats == 1
+
+
+def test_collector_when_it_sends_too_many_reports_then_the_rest_is_not_parsed() -> None:
+    """Guards against a peer whose reports are handled for as long as it sends them."""
+    session = collector_session(report_intake({3}))
+    result = session.feed(encode(slice_report()) * 50, max_reports=20)
+    assert (len(result.reports), result.close_reason) == (20, "too many reports")
+    session = collector_session(report_intake({3}))
+    result = session.feed(encode(["unsound"]) * 50, max_reports=20)
+    assert (session.intake.rejected.total(), result.close_reason) == (20, "too many reports")
+
+
+def test_peer_when_it_sends_too_many_heartbeats_then_it_is_rejected() -> None:
+    result = CollectorSession(report_intake(set())).feed(encode(["hb"]) * 50, max_heartbeats=20)
+    assert (result.heartbeats, result.close_reason, result.answer) == (20, "too many heartbeats", REJECT)
--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -115,6 +115,7 @@
     "frame-beats": joined(itertools.repeat(frames.encode(frames.Heartbeat()) * 4_000)),
     "frame-beats-before-hello": lambda _: Script(b"", itertools.repeat(frames.encode(frames.Heartbeat()) * 4_000)),
     "frame-rows-flood": joined(itertools.repeat(short_rows())),
+    "frame-rows-paced": lambda number: Script(hello(number), itertools.repeat(short_rows()), 0.3),
     "frame-new-jobs": joined(new_jobs()),
     "frame-new-runs": joined(new_runs()),
     # to the port of the collectors
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -40,6 +40,7 @@
     "frame-beats",
     "frame-beats-before-hello",
     "frame-rows-flood",
+    "frame-rows-paced",
     "frame-new-jobs",
     "frame-new-runs",
 ]
