An error in the data of one connection ends that connection, and no longer keeps others waiting

Cause: found while rereading the scheduler of reads: an exception in a turn left the pieces behind it without a next turn, for good. Change: the turn is scheduled whatever happens, and the connection is aborted, as the transport does outside of turns. Measured: the new test failed before, passes.

--- a/corallanding/read_scheduler.py
+++ b/corallanding/read_scheduler.py
@@ -88,12 +88,14 @@
         """Process data that waits, as far as the time of one turn permits, and resume reading for it."""
         self.next_turn = None
         self.spent_ms = 0.0
-        self._serve(self.waiting_identified)
-        self._serve(self.waiting_unidentified)
-        if self._has_waiting():
-            self._schedule_turn(self.spent_ms)
-        elif self.spent_ms:
-            self._schedule_turn(0.0)
+        try:
+            self._serve(self.waiting_identified)
+            self._serve(self.waiting_unidentified)
+        finally:  # an error ends one connection, and must not keep the others waiting
+            if self._has_waiting():
+                self._schedule_turn(self.spent_ms)
+            elif self.spent_ms:
+                self._schedule_turn(0.0)
 
     def _serve(self, waiting: deque[ScheduledConnection]) -> None:
         """Process what waits in one of the two queues, for half of the time of a turn at most."""
@@ -152,10 +154,20 @@
             self.on_peer_left()
             return
         if data:
-            self.on_data(data)
+            self._process_or_abort(data)
         if not self.transport.is_closing() and not self.is_reading_suspended:
             self.transport.resume_reading()
 
+    def _process_or_abort(self, data: bytes) -> None:
+        """Process data; end the connection if that raises, as the transport does for data that did not wait."""
+        is_processed = False
+        try:
+            self.on_data(data)
+            is_processed = True
+        finally:
+            if not is_processed:
+                self.transport.abort()
+
     def on_peer_left(self) -> None:
         """End the connection of a peer that has closed its end with data unread."""
         self.transport.abort()
--- a/tests/test_read_scheduler.py
+++ b/tests/test_read_scheduler.py
@@ -19,6 +19,7 @@
 )
 
 COST_MS = 2.0  # of one piece of data
+FAILING = b"failing"
 LONG_COST_MS = 3 * MAX_TURN_MS
 
 
@@ -48,6 +49,9 @@
     def is_closing(self) -> bool:
         return self.closing
 
+    def abort(self) -> None:
+        self.closing = True
+
     def get_extra_info(self, name: str) -> Any:
         return None
 
@@ -72,6 +76,8 @@
 
     def on_data(self, data: bytes) -> None:
         self.clock.now_ms += self.cost_ms
+        if data == FAILING:
+            raise ValueError(data)
         self.processed.append(f"{self.name}:{data.decode()}")
 
     def receive(self, text: str) -> None:
@@ -187,6 +193,26 @@
     asyncio.run(scenario())
 
 
+def test_data_when_processing_it_fails_then_only_its_connection_ends() -> None:
+    """Guards against an error in one connection's data after which no other connection is served."""
+
+    async def scenario() -> None:
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: None)
+        harness = Harness("sabc")
+        harness.connections["s"].cost_ms = LONG_COST_MS
+        harness.receive("s", "0")
+        harness.receive("a", FAILING.decode())
+        harness.receive("b", "0")
+        harness.receive("c", "0")
+        await pass_time()
+        assert harness.processed == ["s:0", "b:0", "c:0"]
+        assert harness.connections["a"].fake_transport.closing
+        harness.receive("b", "1")
+        assert harness.processed[-1] == "b:1"
+
+    asyncio.run(scenario())
+
+
 def test_buffer_when_one_read_is_larger_then_it_is_split_by_the_transport() -> None:
     async def scenario() -> None:
         harness = Harness("a")
