--- a/tests/hostile_clients.py
+++ b/tests/hostile_clients.py
@@ -1,8 +1,9 @@
 """Clients that misuse a listening address, as a program: many connections at once, or one at full speed.
 
-`python tests/hostile_clients.py PORT COUNT SECONDS KIND` opens COUNT connections to a loopback port. Each sends its
-first bytes once and then, if its kind is a flood, further ones without end, until it is closed or SECONDS have passed.
-Answers are read and discarded. It prints the number of connections that were closed and the bytes sent, as JSON.
+`python tests/hostile_clients.py ADDRESS COUNT SECONDS KIND` opens COUNT connections to a loopback port, or to the path
+of a UNIX socket; kinds that begin with "peer" send datagrams. Each client sends its first bytes once and then, if its
+kind is a flood, further ones without end, until it is closed or SECONDS have passed. Answers are read and discarded.
+It prints the number of connections that were closed and the bytes sent, as JSON.
 """
 
 from __future__ import annotations
@@ -24,6 +25,7 @@
 FRAME_BYTES = 1 << 20  # the largest frame of a proxy
 MESSAGE_BYTES = 1 << 20  # the largest message of a collector
 CHUNK_BYTES = 1 << 16
+MAX_DATAGRAM_BYTES = 64
 SLOW_CHUNK_BYTES = 8_192
 SLOW_INTERVAL_SECONDS = 0.02
 ZONE = "a"
@@ -133,6 +135,10 @@
     "load-half": lambda _: Script((4_000).to_bytes(2, "big") + b"x" * 3_990),
     "load-empty": lambda _: Script(b"", itertools.repeat(b"\0\0" * 30_000)),
     "load-json": lambda _: Script(b"", itertools.repeat(frame(b"{" + b"[" * 4_000)[2:] * 16)),
+    # to the port of the other controllers, and to the socket that requests handovers
+    "peer-flood": lambda _: Script(b"", itertools.repeat(msgspec.msgpack.encode((1, b"x" * 60)) * 1_000)),
+    "control-half": lambda _: Script(b"x" * 60_000),
+    "control-flood": lambda _: Script(b"", itertools.repeat(b"unknown\n" * 8_000)),
     # to the admin port
     "http-half": lambda _: Script(b"GET /none HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 8_000),
     "http-short-fields": lambda _: Script(b"GET /none HTTP/1.1\r\nHost: a\r\n" + b"a:\r\n" * 2_000),
@@ -145,14 +151,17 @@
 class Client:
     """One connection."""
 
-    def __init__(self, port: int, script: Script) -> None:
+    def __init__(self, address: str, script: Script, *, sends_datagrams: bool) -> None:
         self.script = script
         self.unsent = script.first
         self.sent_bytes = 0
         self.next_at = time.monotonic()
-        self.socket = socket.socket()
+        is_port = address.isdigit()
+        family = socket.AF_INET if is_port else socket.AF_UNIX
+        self.socket = socket.socket(family, socket.SOCK_DGRAM if sends_datagrams else socket.SOCK_STREAM)
         self.socket.setblocking(False)
-        self.socket.connect_ex(("127.0.0.1", port))
+        self.socket.connect_ex(("127.0.0.1", int(address)) if is_port else address)
+        self.max_write_bytes = MAX_DATAGRAM_BYTES if sends_datagrams else CHUNK_BYTES
 
     def take_piece(self) -> None:
         """Take the next bytes of the flood, in pieces that are worth a system call."""
@@ -174,7 +183,7 @@
             if events & selectors.EVENT_WRITE:
                 self.take_piece()
                 if self.unsent:
-                    count = self.socket.send(self.unsent[:CHUNK_BYTES])
+                    count = self.socket.send(self.unsent[: self.max_write_bytes])
                     self.unsent = self.unsent[count:]
                     self.sent_bytes += count
         except BlockingIOError:
@@ -184,11 +193,12 @@
         return True
 
 
-def run(port: int, count: int, seconds: float, kind: str) -> dict[str, int]:
+def run(address: str, count: int, seconds: float, kind: str) -> dict[str, int]:
     """Run the clients, and return how many were closed and the bytes sent."""
     ends_at = time.monotonic() + seconds
     selector = selectors.DefaultSelector()
-    clients = [Client(port, SCRIPTS[kind](number)) for number in range(count)]
+    is_peer = kind.startswith("peer")
+    clients = [Client(address, SCRIPTS[kind](number), sends_datagrams=is_peer) for number in range(count)]
     for client in clients:
         selector.register(client.socket, selectors.EVENT_READ | selectors.EVENT_WRITE, client)
     closed = 0
@@ -210,4 +220,4 @@
 
 
 if __name__ == "__main__":
-    print(json.dumps(run(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), sys.argv[4])))
+    print(json.dumps(run(sys.argv[1], int(sys.argv[2]), float(sys.argv[3]), sys.argv[4])))
--- a/tests/hostile_runs.py
+++ b/tests/hostile_runs.py
@@ -30,6 +30,9 @@
 zones = ["a", "b"]
 steward {
   listen = "%(proxies)s"
+  peer_listen = "%(peers)s"
+  peers = { "1" = "%(other_controller)s" }
+  control = "%(control)s"
 }
 store {
   path = "%(store)s"
@@ -64,7 +67,7 @@
     """A running program. probes: by the first word of a kind of hostile client, a request that is answered."""
 
     pid: int
-    ports: dict[str, int]
+    addresses: dict[str, str]
     probes: dict[str, Probe]
 
     def peak_memory_mib(self) -> float:
@@ -162,7 +165,7 @@
         _, writer = await process.connect()
         writer.close()
         await probe_heartbeat(port)
-        yield Program(process.process.pid, {"report": port}, {"report": lambda: probe_heartbeat(port)})
+        yield Program(process.process.pid, {"report": str(port)}, {"report": lambda: probe_heartbeat(port)})
     finally:
         process.process.kill()
         await process.process.wait()
@@ -173,8 +176,10 @@
 @contextlib.asynccontextmanager
 async def steward_program(folder: Path) -> AsyncIterator[Program]:
     """Run `corallanding steward` with its ports for proxies, load reports and admin requests."""
-    addresses = {name: free_address() for name in ("proxies", "admin", "load_reports")}
-    text = STEWARD_CONFIG % {**addresses, "store": folder / "s.db"}
+    names = ("proxies", "admin", "load_reports", "peers", "other_controller")
+    addresses = {name: free_address() for name in names}
+    control = folder / "control"
+    text = STEWARD_CONFIG % {**addresses, "store": folder / "s.db", "control": control}
     with ControllerProgram(folder, text) as program:
         await program.start()
         await program_event(program, "load reports ready")
@@ -183,6 +188,7 @@
             "frame": port_of(addresses["proxies"]),
             "http": port_of(addresses["admin"]),
             "load": port_of(addresses["load_reports"]),
+            "peer": port_of(addresses["peers"]),
         }
         peer = RawProxyConnection(*await asyncio.open_connection("127.0.0.1", ports["frame"]))
         peer.send_hello(HONEST_PROXY)
@@ -192,7 +198,9 @@
             "http": lambda: probe_admin(ports["http"]),
             "load": lambda: probe_load_reports(ports["load"]),
         }
-        yield Program(program.process.pid, ports, probes)
+        probes["peer"] = probes["control"] = probes["frame"]
+        targets = {name: str(port) for name, port in ports.items()}
+        yield Program(program.process.pid, {**targets, "control": str(control)}, probes)
 
 
 async def program_event(program: ControllerProgram, event: str) -> None:
@@ -211,7 +219,7 @@
     probe_seconds: list[float] = []
     probing = asyncio.create_task(_probe_repeatedly(program.probes[target], probe_seconds))
     await asyncio.sleep(SETTLE_SECONDS)
-    arguments = [str(program.ports[target]), str(count), str(seconds), kind]
+    arguments = [program.addresses[target], str(count), str(seconds), kind]
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         str(ROOT / "tests" / "hostile_clients.py"),
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -60,6 +60,8 @@
 ]
 LOAD_CROWDS = ["load-half", "load-json"]
 LOAD_FLOODS = ["load-empty", "load-json"]
+CONTROL_CROWDS = ["control-half"]
+INTERNAL_FLOODS = ["peer-flood", "control-flood"]
 ADMIN_CROWDS = ["http-half", "http-short-fields"]
 ADMIN_FLOODS = ["http-pipelined", "http-paced", "http-new-paths"]
 
@@ -160,3 +162,16 @@
             check_answers(await run_kinds(program, ADMIN_FLOODS, 1, FLOOD_SECONDS))
 
     asyncio.run(scenario())
+
+
+def test_peers_and_control_when_clients_are_hostile_then_others_are_answered_and_memory_is_bounded(
+    tmp_path: Path,
+) -> None:
+    """Guards against datagrams that do not come from a controller, and requests that never end, of the same user."""
+
+    async def scenario() -> None:
+        async with steward_program(tmp_path) as program:
+            check_answers(await run_kinds(program, CONTROL_CROWDS, HUNDREDS, CROWD_SECONDS))
+            check_answers(await run_kinds(program, INTERNAL_FLOODS, 1, FLOOD_SECONDS))
+
+    asyncio.run(scenario())
