Slices whose hosts are all cordoned get their new owners before all other entries

Cause: entries that do not fit a message were written in the order of slice numbers, before anything was reassigned, so that slices to which proxies can send nothing waited behind entries of failed hosts.

Change: slices whose tables name cordoned hosts only come first. Measured: the new test before: seven of eight slices still without a usable host after the message; after: none.

--- a/corallanding/assignment/evacuation.py
+++ b/corallanding/assignment/evacuation.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from .host_health import HostHealth
 from .limits import OVERLOAD_RATIO, SHED_UTILIZATION
 from .placement import Placement
@@ -34,15 +36,45 @@
         self.publication = host_health.publication
 
     def evacuate_unavailable_hosts(self) -> None:
-        """Reassign the slices without a usable owner: those of leaving hosts first, then the busiest."""
+        """Reassign the slices without a usable owner: those of leaving hosts first, then the busiest.
+
+        Slices whose tables name cordoned hosts only come before all others, as proxies cannot send their requests.
+        """
         self._drop_ineligible_hosts()
+        stranded = self._stranded_slices()
+        self._write_assigned(stranded)
+        self._reassign(self._orphaned(stranded))
+        self._write_assigned(self.slices.values())
+        orphaned = self._orphaned(self.slices.values())
+        self._reassign([*orphaned, *self._unload_overloaded_warming_hosts()])
+
+    def _stranded_slices(self) -> list[Slice]:
+        """Return the slices whose tables name cordoned hosts only."""
+        if not any(host.is_cordoned for host in self.host_health.hosts.values()):
+            return []
+        return [
+            slice_
+            for slice_ in self.slices.values()
+            if slice_.weights and all(host.is_cordoned for host in slice_.weights)
+        ]
+
+    def _write_assigned(self, slices: Iterable[Slice]) -> None:
+        """Write the tables of slices with an eligible owner that exceeded the line budget before."""
+        for slice_ in slices:
+            if slice_.owner and slice_.owner.is_eligible:
+                self.publication.write_table(slice_)
+
+    def _orphaned(self, slices: Iterable[Slice]) -> list[Slice]:
+        """Return those of the slices that have no usable owner."""
         has_fresh_list = self.host_health.host_list.has_fresh_list
         unconfirmed = (host for host in self.host_health.hosts.values() if not (host.is_listed or has_fresh_list))
         staying = {*self.fleet.eligible_hosts, *unconfirmed}
-        orphaned = [slice_ for slice_ in self.slices.values() if slice_.owner not in staying]
-        orphaned += self._unload_overloaded_warming_hosts()
-        for slice_ in sorted(orphaned, key=self._urgency):
-            self._reassign(slice_)
+        return [slice_ for slice_ in slices if slice_.owner not in staying]
+
+    def _reassign(self, slices: Iterable[Slice]) -> None:
+        """Reassign slices, the most urgent ones first."""
+        for slice_ in sorted(slices, key=self._urgency):
+            self._reassign_slice(slice_)
 
     def _urgency(self, slice_: Slice) -> tuple[bool, float, int]:
         """Sort key: slices of leaving hosts first, then the busiest; ids break ties."""
@@ -52,7 +84,7 @@
             slice_.id,
         )
 
-    def _reassign(self, slice_: Slice) -> None:
+    def _reassign_slice(self, slice_: Slice) -> None:
         if slice_.replicas:
             replica = max(slice_.replicas, key=lambda host: self.placement.score(slice_, host))
             self.placement.assign_owner(slice_, replica, holds_previous=False)
@@ -63,16 +95,11 @@
             self.publication.write_table(slice_)
 
     def _drop_ineligible_hosts(self) -> None:
-        """Drop ineligible replicas and previous owners, and write the tables that exceeded the line budget before.
-
-        Tables of slices with an eligible owner are written before any slice is reassigned.
-        """
+        """Drop ineligible replicas and previous owners."""
         for slice_ in self.slices.values():
             slice_.replicas = slice_.replicas and [host for host in slice_.replicas if host.is_eligible]
             if slice_.previous_owner and not slice_.previous_owner.is_eligible:
                 slice_.previous_owner = None
-            if slice_.owner and slice_.owner.is_eligible:
-                self.publication.write_table(slice_)
 
     def _unload_overloaded_warming_hosts(self) -> list[Slice]:
         """Remove excess slices from warming hosts, and return them without an owner. Do nothing if all hosts warm up.
--- a/tests/assignment/test_evacuation.py
+++ b/tests/assignment/test_evacuation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from corallanding import interface as api
 from tests.assignment.support import HOSTS, Scenario, all_answered, equal_attempts, host_entry, settled_scenario
 
 
@@ -43,3 +44,35 @@
     scenario.list_hosts(host_entry(12, "draining"), host_entry(13, "draining"))
     scenario.run(1, all_answered)
     scenario.check_trace("bounded")
+
+
+def test_drains_when_entries_of_failed_hosts_wait_then_slices_without_a_usable_host_come_first() -> None:
+    """Guards against cordons whose slices get their new owners last, while proxies cannot send their requests.
+
+    Half of the hosts fail, more than fit into one message; then hosts drain and are cordoned. The room of that message
+    is for the slices of the cordoned hosts, as those of failed hosts still have a host that proxies try.
+    """
+    hosts = [host_entry(host) for host in range(11, 19)]
+    scenario = Scenario(max_queued_lines=52.0, slice_count=32)
+    assigner = scenario.assigner
+    scenario.step(
+        api.HostListUpdate(api.HostListKind.FULL, 1, tuple(hosts)),
+        *(api.SliceOwnershipChange(slice_id, True) for slice_id in range(32)),
+        *(api.StoredWeight(slice_id, 11 + slice_id // 4, 1.0) for slice_id in range(32)),
+        *(api.ProxyJoined(proxy, 0, 10.0, True) for proxy in range(2)),
+    )
+    scenario.run(3)
+    for host in (11, 12, 13):
+        assigner.host_health.record_failure(assigner.hosts[host])
+    scenario.run(0.01)
+    scenario.step(api.TimerFired(99))
+    failed = {assigner.hosts[host] for host in (11, 12, 13)}
+    assert any(failed & set(slice_.weights) for slice_ in assigner.slices.values()), "entries are expected to wait"
+    drains = (host_entry(17, "draining"), host_entry(18, "draining"))
+    scenario.step(
+        *(api.VersionAcked(proxy, assigner.pending_versions.last_version) for proxy in range(2)),
+        api.HostListUpdate(api.HostListKind.CHANGES, 2, drains),
+    )
+    assert assigner.hosts[17].is_cordoned
+    stranded = [slice_.id for slice_ in assigner.slices.values() if all(host.is_cordoned for host in slice_.weights)]
+    assert stranded == []
