Data of a peer that has closed its end is processed again when it had to wait

Cause: dropped data that had to wait if the peer had closed its end, and a peer that sends and closes has done nothing wrong. Evidence: the test does not keep its connection, and only beside load does its data wait.

--- a/corallanding/collector/server.py
+++ b/corallanding/collector/server.py
@@ -34,8 +34,6 @@
 class CollectorConnection(ScheduledConnection):
     """One connection: a collector's, or one of a peer that has not identified itself."""
 
-    is_dropped_with_peer = True
-
     def __init__(self, server: CollectorServer) -> None:
         super().__init__(server.read_scheduler)
         self.server = server
@@ -80,10 +78,6 @@
         if result.close_reason:
             self.close(result.close_reason, result.answer)
 
-    def on_peer_left(self) -> None:
-        """Close the connection of a peer that left before its data was processed, and count it."""
-        self.close("left with data unread")
-
     def on_identification_timeout(self) -> None:
         """Close the connection of an unidentified peer, unless the peer still waits for a heartbeat."""
         self.process_waiting_data()
--- a/corallanding/load_reports/receivers.py
+++ b/corallanding/load_reports/receivers.py
@@ -38,8 +38,6 @@
 class StreamReceiver(ScheduledConnection):
     """Receives reports that are preceded by two bytes of length each. A stream over its rate is read more slowly."""
 
-    is_dropped_with_peer = True
-
     def __init__(self, intake: LoadReportIntake) -> None:
         super().__init__(intake.read_scheduler)
         self._intake = intake
--- a/corallanding/read_scheduler.py
+++ b/corallanding/read_scheduler.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -23,21 +22,6 @@
 
 MIN_PAUSE_MS = 1.0  # resolution of the event loop's timers
 
-TCP_STATES_OF_CLOSED_PEER = frozenset({7, 8, 9, 11})
-"""CLOSE, CLOSE_WAIT, LAST_ACK and CLOSING, as Linux numbers the states of a connection."""
-
-
-def has_peer_closed(transport: asyncio.Transport) -> bool:
-    """Return whether the peer has closed its end, also while data that it sent before is still unread."""
-    peer_socket = transport.get_extra_info("socket")
-    if peer_socket is None or not hasattr(socket, "TCP_INFO"):
-        return False
-    try:
-        state: int = peer_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
-    except (OSError, ValueError):  # it is closed already
-        return False
-    return state in TCP_STATES_OF_CLOSED_PEER
-
 
 class ReadScheduler:
     """The connections of one server whose received data waits to be processed. clock: returns ms."""
@@ -112,12 +96,9 @@
 class ScheduledConnection(asyncio.BufferedProtocol):
     """A connection whose reads are divided by a `ReadScheduler`. Subclasses process data in `on_data`.
 
-    Reading is paused by the scheduler, or by the owner with `suspend_reading`. With `is_dropped_with_peer`, data that
-    had to wait is dropped if the peer has closed its end meanwhile, and so is all that it sent after that.
+    Reading is paused by the scheduler, or by the owner with `suspend_reading`.
     """
 
-    is_dropped_with_peer = False
-
     def __init__(self, scheduler: ReadScheduler) -> None:
         self.scheduler = scheduler
         self.waiting_data = b""
@@ -150,9 +131,6 @@
         data, self.waiting_data = self.waiting_data, b""
         if self.transport.is_closing():
             return
-        if data and self.is_dropped_with_peer and has_peer_closed(self.transport):
-            self.on_peer_left()
-            return
         if data:
             self._process_or_abort(data)
         if not self.transport.is_closing() and not self.is_reading_suspended:
@@ -168,10 +146,6 @@
             if not is_processed:
                 self.transport.abort()
 
-    def on_peer_left(self) -> None:
-        """End the connection of a peer that has closed its end with data unread."""
-        self.transport.abort()
-
     def suspend_reading(self) -> None:
         """Stop reading until `resume_reading`; what has been received is processed first."""
         self.process_waiting_data()
--- a/tests/test_read_scheduler.py
+++ b/tests/test_read_scheduler.py
@@ -3,19 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from typing import Any
 
-import pytest
-from sockets import until
-
 from corallanding.read_scheduler import (
     MAX_TURN_MS,
     READ_BYTES,
     ReadScheduler,
     ScheduledConnection,
-    has_peer_closed,
 )
 
 COST_MS = 2.0  # of one piece of data
@@ -52,9 +46,6 @@
     def abort(self) -> None:
         self.closing = True
 
-    def get_extra_info(self, name: str) -> Any:
-        return None
-
 
 class RecordingConnection(ScheduledConnection):
     """A connection whose data costs time; `processed` is shared by all connections of a test."""
@@ -219,32 +210,3 @@
         assert len(harness.connections["a"].get_buffer(1 << 20)) == READ_BYTES
 
     asyncio.run(scenario())
-
-
-@pytest.mark.parametrize("is_reset", [False, True])
-def test_peer_when_it_closes_with_data_unread_then_that_is_known(is_reset: bool) -> None:
-    """Guards against work for a peer that has left, of which a read knows nothing before all data is read."""
-
-    async def scenario() -> None:
-        loop = asyncio.get_running_loop()
-        accepted: asyncio.Future[asyncio.Transport] = loop.create_future()
-
-        class Accepting(asyncio.Protocol):
-            def connection_made(self, transport: asyncio.BaseTransport) -> None:
-                reading: Any = transport
-                reading.pause_reading()
-                accepted.set_result(reading)
-
-        server = await loop.create_server(Accepting, "127.0.0.1", 0)
-        peer = socket.create_connection(server.sockets[0].getsockname())
-        transport = await accepted
-        peer.sendall(b"unread")
-        assert not has_peer_closed(transport)
-        if is_reset:
-            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        peer.close()
-        await until(lambda: has_peer_closed(transport))
-        transport.abort()
-        server.close()
-
-    asyncio.run(scenario())
