Evacuation: the hosts that keep their slices are found once a decision

Cause: since slices of cordoned hosts come first, the set of staying hosts was built twice in each decision, the first time mostly for no slice. Change: it is built once; both passes use it.

--- a/corallanding/assignment/evacuation.py
+++ b/corallanding/assignment/evacuation.py
@@ -41,11 +41,12 @@
         Slices whose tables name cordoned hosts only come before all others, as proxies cannot send their requests.
         """
         self._drop_ineligible_hosts()
+        staying = self._staying_hosts()
         stranded = self._stranded_slices()
         self._write_assigned(stranded)
-        self._reassign(self._orphaned(stranded))
+        self._reassign(slice_ for slice_ in stranded if slice_.owner not in staying)
         self._write_assigned(self.slices.values())
-        orphaned = self._orphaned(self.slices.values())
+        orphaned = [slice_ for slice_ in self.slices.values() if slice_.owner not in staying]
         self._reassign([*orphaned, *self._unload_overloaded_warming_hosts()])
 
     def _stranded_slices(self) -> list[Slice]:
@@ -64,12 +65,11 @@
             if slice_.owner and slice_.owner.is_eligible:
                 self.publication.write_table(slice_)
 
-    def _orphaned(self, slices: Iterable[Slice]) -> list[Slice]:
-        """Return those of the slices that have no usable owner."""
+    def _staying_hosts(self) -> set[Host]:
+        """Return the hosts that may keep their slices."""
         has_fresh_list = self.host_health.host_list.has_fresh_list
         unconfirmed = (host for host in self.host_health.hosts.values() if not (host.is_listed or has_fresh_list))
-        staying = {*self.fleet.eligible_hosts, *unconfirmed}
-        return [slice_ for slice_ in slices if slice_.owner not in staying]
+        return {*self.fleet.eligible_hosts, *unconfirmed}
 
     def _reassign(self, slices: Iterable[Slice]) -> None:
         """Reassign slices, the most urgent ones first."""
