The bytes of incomplete frames are read when metrics are, not set with each read

Cause: the gauge was set with every 8 KiB that any proxy sent, and kept its last value when connections ended without another read. Change: its value is taken from the table that has it. The limit is as it was. Measured: the new test failed before (the metric stayed at 8 after the connection had ended), passes.

--- a/corallanding/controller/proxy_connections.py
+++ b/corallanding/controller/proxy_connections.py
@@ -72,6 +72,7 @@
         self.unidentified = registry.unidentified
         self.partial_frames = registry.partial_frames
         self.read_scheduler = ReadScheduler(context.clock)
+        self.metrics.partial_frame_bytes.set_function(lambda: registry.partial_frames.total_bytes)
 
     # ---- events from a link (`proxy_protocol.ConnectionOwner`) ---------------------------------------------------
 
--- a/corallanding/controller/proxy_protocol.py
+++ b/corallanding/controller/proxy_protocol.py
@@ -122,7 +122,6 @@
         partial_frames.update(self, len(self.link.reader.buffer), is_new=is_new)
         while connection := partial_frames.excess():
             connection.close(CloseCode.FULL, "others need the memory of its incomplete frame")
-        self.owner.metrics.partial_frame_bytes.set(partial_frames.total_bytes)
 
     @property
     def unsent_bytes(self) -> int:
--- a/tests/controller/test_connection_limits.py
+++ b/tests/controller/test_connection_limits.py
@@ -110,3 +110,21 @@
                 await good.wait_for_frame(frames.Orders, lambda frame: frame.version == number + 1)
 
     asyncio.run(scenario())
+
+
+def test_bytes_of_incomplete_frames_when_their_connection_ends_then_the_metric_no_longer_counts_them(
+    tmp_path: Path,
+) -> None:
+    """Guards against a metric that keeps its last value until another proxy sends something."""
+
+    async def scenario() -> None:
+        async with Running(tmp_path) as running, asyncio.timeout(20):
+            name = "corallanding_partial_frame_bytes"
+            metrics = running.steward.context.metrics
+            peer = await running.connect_proxy()
+            peer.writer.write((100).to_bytes(4, "big") + b"part")
+            await until(lambda: metrics.registry.get_sample_value(name) == 8)
+            peer.writer.close()
+            await until(lambda: metrics.registry.get_sample_value(name) == 0)
+
+    asyncio.run(scenario())
