--- a/corallanding/collector/server.py
+++ b/corallanding/collector/server.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import Counter
 from collections.abc import Callable
 
 from ..connection import Address, ReadTimeout
 from ..controller.acceptor import Listener
 from ..rate_limit import TokenBucket
-from ..read_scheduler import ReadScheduler, ScheduledConnection
+from ..read_scheduler import ReadScheduler, ScheduledConnection, monotonic_ms
 from .reports import ReportIntake, UsageReport
 from .session import HEARTBEAT_ANSWER, REJECT, CollectorSession
 
@@ -26,11 +25,6 @@
 ACCEPTED_PER_SECOND = 2_000.0
 
 
-def monotonic_ms() -> float:
-    """Return the time in ms on the monotonic clock."""
-    return time.monotonic() * 1000.0
-
-
 class CollectorConnection(ScheduledConnection):
     """One connection: a collector's, or one of a peer that has not identified itself."""
 
@@ -137,7 +131,7 @@
         max_per_zone: int = 4,
     ) -> None:
         self.intake = intake
-        self.read_scheduler = ReadScheduler(monotonic_ms)
+        self.read_scheduler = ReadScheduler()
         self.max_report_rate = max(MIN_REPORTS_PER_SECOND, MAX_REPORT_RATE_FACTOR * intake.settings.reports_per_second)
         self.max_unidentified = max_unidentified
         self.max_per_zone = max_per_zone
--- a/corallanding/load_reports/intake.py
+++ b/corallanding/load_reports/intake.py
@@ -12,14 +12,13 @@
 import os
 import socket
 import sys
-import time
 from collections.abc import Callable
 from typing import Any, cast
 
 import uvloop
 
 from ..endpoints.endpoint_list import parse_loopback_address
-from ..read_scheduler import ReadScheduler
+from ..read_scheduler import ReadScheduler, monotonic_ms
 from .envelope import ReportHeader, is_authentic, read_report, read_sender
 from .errors import InvalidReportError
 from .framing import decode_messages, encode_message
@@ -36,11 +35,6 @@
 """Gives the controller precedence on a small machine."""
 
 
-def monotonic_ms() -> float:
-    """Return the time in ms on the monotonic clock, which all processes of the machine share."""
-    return time.monotonic() * 1000.0
-
-
 def report_row(arrived_at_ms: float, header: ReportHeader, load: ReportedLoad) -> tuple[Any, ...]:
     """Return a report as sent to the controller, which may be of another version: the order must not change."""
     sender = (header.host, header.process, header.process_started_ms, header.seq)
--- a/corallanding/read_scheduler.py
+++ b/corallanding/read_scheduler.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -23,10 +24,15 @@
 MIN_PAUSE_MS = 1.0  # resolution of the event loop's timers
 
 
+def monotonic_ms() -> float:
+    """Return the time in ms on the monotonic clock, which all processes of the machine share."""
+    return time.monotonic() * 1000.0
+
+
 class ReadScheduler:
     """The connections of one server whose received data waits to be processed. clock: returns ms."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float] = monotonic_ms) -> None:
         self.clock = clock
         self.loop = asyncio.get_running_loop()
         self.buffer = memoryview(bytearray(READ_BYTES))
