--- a/tests/controller/fleet_programs.py
+++ b/tests/controller/fleet_programs.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from platform_standins import free_address
-from sockets import RawProxyConnection
+from sockets import QUOTE_FIELDS, ROSTER_AND_SLICES, RawProxyConnection
 
 from corallanding.controller.action_journal import JournalEvent
 from corallanding.wire import frames
@@ -19,7 +19,8 @@
 RELEASES_PER_SECOND = 200
 LONGEST_WAIT_MS = 40_000
 FEATURES = 3  # workflow runs and queued jobs
-CONFIG = """
+CONFIG = (
+    """
 zones = ["a"]
 steward {
   listen = "%(listen)s"
@@ -31,16 +32,11 @@
 store {
   path = "%(folder)s/s.db"
 }
-roster {
-  address = "127.0.0.1:1"
-}
-slices {
-  count = 4
-}
-operation "quote" {
-  repeat = "idempotent"
-  latency_objective_ms = 1200
-  integration_timeout_ms = 3000
+"""
+    + ROSTER_AND_SLICES
+    + 'operation "quote" {\n'
+    + QUOTE_FIELDS
+    + """\
   waits {
     most_ms = %(longest_wait_ms)d
   }
@@ -68,6 +64,7 @@
   witness = "%(folder)s/records.jsonl"
 }
 """
+)
 
 
 PINNED_RUNS = """
--- a/tests/hostile_runs.py
+++ b/tests/hostile_runs.py
@@ -15,7 +15,7 @@
 
 from platform_samples import CONFIG_FILE, list_entry
 from platform_standins import ControllerProcess, StandInDiscovery, StandInHosts, StandInRelay, free_address
-from sockets import RawProxyConnection, until
+from sockets import QUOTE_FIELDS, ROSTER_AND_SLICES, RawProxyConnection, until
 
 from corallanding.resp import encode
 from corallanding.wire import frames
@@ -26,7 +26,8 @@
 MAX_PROBE_SECONDS = 10.0
 SETTLE_SECONDS = 0.3  # before the hostile clients start, for a first probe
 HONEST_PROXY = 4_000  # the hostile proxies have the numbers from 0
-STEWARD_CONFIG = """
+STEWARD_CONFIG = (
+    """
 zones = ["a", "b"]
 steward {
   listen = "%(proxies)s"
@@ -37,16 +38,11 @@
 store {
   path = "%(store)s"
 }
-roster {
-  address = "127.0.0.1:1"
-}
-slices {
-  count = 4
-}
-operation "quote" {
-  repeat = "idempotent"
-  latency_objective_ms = 1200
-  integration_timeout_ms = 3000
+"""
+    + ROSTER_AND_SLICES
+    + 'operation "quote" {\n'
+    + QUOTE_FIELDS
+    + """\
 }
 forwarders {
   count = 2
@@ -60,6 +56,7 @@
   listen = "%(load_reports)s"
 }
 """
+)
 
 Probe = Callable[[], Awaitable[None]]
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -13,25 +13,38 @@
 from corallanding.controller.daemon import Controller
 from corallanding.wire import frames
 
-CONFIG = """\
-steward {
-  listen = "127.0.0.1:0"
-}
-store {
-  path = "%s"
-  retry_ms = 30
-  retry_most_ms = 60
-}
+ROSTER_AND_SLICES = """\
 roster {
   address = "127.0.0.1:1"
 }
 slices {
   count = 4
 }
-operation "quote" {
+"""
+"""A host list that cannot be reached, and four slices."""
+
+QUOTE_FIELDS = """\
   repeat = "idempotent"
   latency_objective_ms = 1200
   integration_timeout_ms = 3000
+"""
+"""The fields of the operation "quote"."""
+
+CONFIG = (
+    """\
+steward {
+  listen = "127.0.0.1:0"
+}
+store {
+  path = "%s"
+  retry_ms = 30
+  retry_most_ms = 60
+}
+"""
+    + ROSTER_AND_SLICES
+    + 'operation "quote" {\n'
+    + QUOTE_FIELDS
+    + """\
 }
 forwarders {
   count = 2
@@ -52,6 +65,7 @@
   level = "error"
 }
 """
+)
 
 
 class ScriptedAssigner:
