Tests start the platform program in one place; two probes that differ in their bytes are one

The hostile runs had written again how a controller is started with its stand-ins, and a heartbeat check; both call tests/platform/setup.py, which has what tests/platform/test_program.py had. The same tests are collected, with the same assertions.

--- a/tests/hostile_runs.py
+++ b/tests/hostile_runs.py
@@ -11,20 +11,20 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
-from platform_samples import CONFIG_FILE, list_entry
-from platform_standins import ControllerProcess, StandInDiscovery, StandInHosts, StandInRelay, free_address
+from platform_standins import free_address
 from sockets import QUOTE_FIELDS, ROSTER_AND_SLICES, RawProxyConnection, until
 
-from corallanding.resp import encode
 from corallanding.wire import frames
 from tests.controller.program import ControllerProgram
+from tests.platform.setup import running_platform
 
 ROOT = Path(__file__).parent.parent
 PROBE_INTERVAL_SECONDS = 0.05
 MAX_PROBE_SECONDS = 10.0
 SETTLE_SECONDS = 0.3  # before the hostile clients start, for a first probe
+HEALTH_REQUEST = b"GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+IMPOSSIBLE_REPORT_LENGTH = b"\xff\xff"  # it ends a stream of load reports
 HONEST_PROXY = 4_000  # the hostile proxies have the numbers from 0
 STEWARD_CONFIG = (
     """
@@ -102,19 +102,11 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def port_of(address: str) -> int:
-    return int(address.rpartition(":")[2])
+def port_of(address: str) -> str:
+    return address.rpartition(":")[2]
 
 
-async def probe_heartbeat(port: int) -> None:
-    """Request a heartbeat of `run`, on a connection of its own."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(encode(["hb"]))
-    await reader.readexactly(len(encode(["hb_ok"])))
-    writer.close()
-
-
-async def probe_proxy(port: int, peer: RawProxyConnection) -> None:
+async def probe_proxy(port: str, peer: RawProxyConnection) -> None:
     """Let a joined proxy violate the protocol on a new connection: it is told so at once."""
     probe = RawProxyConnection(*await asyncio.open_connection("127.0.0.1", port))
     probe.send(frames.Heartbeat())
@@ -124,19 +116,10 @@
     await peer.writer.drain()
 
 
-async def probe_load_reports(port: int) -> None:
-    """Send a report of an impossible length, which ends the stream."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(b"\xff\xff")
-    with contextlib.suppress(ConnectionResetError):
-        await reader.read()
-    writer.close()
-
-
-async def probe_admin(port: int) -> None:
-    """Request the health page; beyond the limit of connections the answer is an error, but at once."""
+async def request(port: str, data: bytes) -> None:
+    """Send a request on a connection of its own, and read until the program ends the connection."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(b"GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    writer.write(data)
     with contextlib.suppress(ConnectionResetError):
         await reader.read()
     writer.close()
@@ -145,31 +128,9 @@
 @contextlib.asynccontextmanager
 async def platform_program(folder: Path) -> AsyncIterator[Program]:
     """Run `python -m corallanding.platform` against stand-ins."""
-    relay, hosts = StandInRelay(), StandInHosts()
-    dial = await hosts.open()
-    rows = [list_entry(f"s-{n}", dial=dial) for n in range(6)]
-    agent = StandInDiscovery(rows)
-    relay.tables, relay.proxies = {n: {f"s-{n % 6}": 1.0} for n in range(12)}, {0, 1}
-    config: dict[str, Any] = {
-        **CONFIG_FILE,
-        "listen": free_address(),
-        "discovery": await agent.open(),
-        "store": {"address": await relay.open()},
-        "known": {"seq": 1, "whole": True, "hosts": rows},
-    }
-    process = ControllerProcess(config, folder / "config.json")
-    await process.start()
-    try:
-        port = port_of(config["listen"])
-        _, writer = await process.connect()
-        writer.close()
-        await probe_heartbeat(port)
-        yield Program(process.process.pid, {"report": str(port)}, {"report": lambda: probe_heartbeat(port)})
-    finally:
-        process.process.kill()
-        await process.process.wait()
-        for server in (relay, agent, hosts):
-            server.close()
+    async with running_platform(folder) as setup:
+        port = port_of(setup.controller.config["listen"])
+        yield Program(setup.controller.process.pid, {"report": port}, {"report": setup.check_heartbeat})
 
 
 @contextlib.asynccontextmanager
@@ -181,30 +142,25 @@
     text = STEWARD_CONFIG % {**addresses, "store": folder / "s.db", "control": control}
     with ControllerProgram(folder, text) as program:
         await program.start()
-        await program_event(program, "load reports ready")
+        await until(lambda: program.entries("load reports ready"), MAX_PROBE_SECONDS)
         assert program.process
-        ports = {
+        targets = {
             "frame": port_of(addresses["proxies"]),
             "http": port_of(addresses["admin"]),
             "load": port_of(addresses["load_reports"]),
             "peer": port_of(addresses["peers"]),
+            "control": str(control),
         }
-        peer = RawProxyConnection(*await asyncio.open_connection("127.0.0.1", ports["frame"]))
+        peer = RawProxyConnection(*await asyncio.open_connection("127.0.0.1", targets["frame"]))
         peer.send_hello(HONEST_PROXY)
         await peer.wait_for_frame(frames.Tables)
         probes: dict[str, Probe] = {
-            "frame": lambda: probe_proxy(ports["frame"], peer),
-            "http": lambda: probe_admin(ports["http"]),
-            "load": lambda: probe_load_reports(ports["load"]),
+            "frame": lambda: probe_proxy(targets["frame"], peer),
+            "http": lambda: request(targets["http"], HEALTH_REQUEST),
+            "load": lambda: request(targets["load"], IMPOSSIBLE_REPORT_LENGTH),
         }
         probes["peer"] = probes["control"] = probes["frame"]
-        targets = {name: str(port) for name, port in ports.items()}
-        yield Program(program.process.pid, {**targets, "control": str(control)}, probes)
-
-
-async def program_event(program: ControllerProgram, event: str) -> None:
-    """Wait for a log entry."""
-    await until(lambda: program.entries(event), MAX_PROBE_SECONDS)
+        yield Program(program.process.pid, targets, probes)
 
 
 def intake_pid(pid: int) -> int:
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -10,52 +10,18 @@
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 import pytest
-from platform_samples import CONFIG_FILE, list_entry, slice_report
+from platform_samples import slice_report
 from platform_standins import (
     TEST_TIMEOUT_SECONDS,
-    ControllerProcess,
     StandInDiscovery,
-    StandInHosts,
     StandInRelay,
-    free_address,
     until,
 )
 
 from corallanding.resp import encode
-
-
-class PlatformSetup:
-    """A controller process and its stand-in peers. `dial` is the address of all hosts."""
-
-    def __init__(
-        self,
-        relay: StandInRelay,
-        agent: StandInDiscovery,
-        hosts: StandInHosts,
-        dial: str,
-        controller: ControllerProcess,
-    ) -> None:
-        self.relay, self.agent, self.hosts, self.dial, self.controller = relay, agent, hosts, dial, controller
-
-    async def check_heartbeat(self) -> None:
-        """Assert that the controller answers a heartbeat."""
-        reader, writer = await self.controller.connect()
-        writer.write(encode(["hb"]))
-        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
-            assert await reader.readexactly(len(encode(["hb_ok"]))) == encode(["hb_ok"])
-        writer.close()
-
-    def has_valid_tables(self) -> bool:
-        """Return whether every slice has a host, and only hosts in service."""
-        in_service = {host for host, entry in self.agent.hosts.items() if entry["health"] == "in_service"}
-        return all(rows and set(rows) <= in_service for rows in self.relay.tables.values())
-
-    def host_entry(self, host: str, health: str = "in_service") -> dict[str, Any]:
-        """Return the host list entry of a host."""
-        return list_entry(host, health, dial=self.dial)
+from tests.platform.setup import PlatformSetup, running_platform
 
 
 def run_scenario(
@@ -67,35 +33,13 @@
     """
 
     async def run() -> None:
-        relay, hosts = StandInRelay(), StandInHosts()
-        dial = await hosts.open()
-        rows = [list_entry(f"s-{n}", dial=dial) for n in range(6)]
-        agent = StandInDiscovery(rows)
-        relay.tables = {n: {f"s-{n % 6}": 1.0} for n in range(12)}
-        relay.proxies = {0, 1}
-        config = {
-            **CONFIG_FILE,
-            "listen": free_address(),
-            "discovery": await agent.open(),
-            "store": {"address": await relay.open()},
-            "known": {"seq": 1, "whole": True, "hosts": rows},
-        }
-        fixture = PlatformSetup(relay, agent, hosts, dial, ControllerProcess(config, tmp_path / "config.json"))
-        fixture.controller.command = command or fixture.controller.command
-        await fixture.controller.start()
-        try:
-            await fixture.check_heartbeat()
-            await scenario(fixture)
-            fixture.controller.send_signal(signal.SIGTERM)
-            code, log = await fixture.controller.wait_exit()
+        async with running_platform(tmp_path, command) as setup:
+            await scenario(setup)
+            setup.controller.send_signal(signal.SIGTERM)
+            code, log = await setup.controller.wait_exit()
             assert code == 0, log
             assert "Traceback" not in log, log
-            assert relay.max_outstanding_calls == 1
-        finally:
-            if fixture.controller.process.returncode is None:
-                fixture.controller.process.kill()
-            for server in (relay, agent, hosts):
-                server.close()
+            assert setup.relay.max_outstanding_calls == 1
 
     asyncio.run(run())
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -16,7 +16,8 @@
 import pytest
 from platform_standins import until
 
-from tests.platform.test_program import PlatformSetup, run_scenario
+from tests.platform.setup import PlatformSetup
+from tests.platform.test_program import run_scenario
 
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
