Log changes of state and what warming hosts are given; metrics for the same

Cause: the log of an incident had two lines in four seconds; the state of hosts, slices and warming loads could not be told from it.

--- a/corallanding/collector/server.py
+++ b/corallanding/collector/server.py
@@ -184,6 +184,12 @@
         for connection in [*self.unidentified, *collectors]:
             connection.answer_heartbeats()
 
+    @property
+    def unanswered_count(self) -> int:
+        """The number of connections with a heartbeat request that is not answered yet."""
+        collectors = [connection for connections in self.collectors.values() for connection in connections]
+        return sum(bool(connection.pending_heartbeats) for connection in [*self.unidentified, *collectors])
+
     def close(self) -> None:
         """Stop accepting connections."""
         self.listener.close()
--- a/corallanding/controller/status_views.py
+++ b/corallanding/controller/status_views.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 from ..admin.http_server import HttpResponse, Route, error_response
+from ..assignment import Assigner
+from ..assignment.warming_load import warming_loads
 from .context import Context
 from .engine import Engine
 from .load_weights import LoadWeights
@@ -51,8 +53,19 @@
         if self._peers.cluster:
             self._peers.cluster.update_metrics()
         self._load_weights.publish_metrics()
+        self._update_assignment_metrics()
         return HttpResponse(200, self._context.metrics.exposition(), "text/plain; version=0.0.4")
 
+    def _update_assignment_metrics(self) -> None:
+        assigner = self._engine.assigner
+        if not isinstance(assigner, Assigner):
+            return
+        metrics = self._context.metrics
+        loads = warming_loads(assigner.hosts.values(), assigner.slices.values())
+        metrics.hosts_warming_up.set(len(loads))
+        metrics.max_warming_utilization.set(max((load.utilization for load in loads), default=0.0))
+        metrics.unreported_slices.set(sum(not slice_.rate_by_class for slice_ in assigner.slices.values()))
+
     def controllers(self) -> HttpResponse:
         """Return the states of the other controllers, and this controller's share of quotas and tasks."""
         return _json(self._peers.cluster.status() if self._peers.cluster else {})
--- a/corallanding/platform/service.py
+++ b/corallanding/platform/service.py
@@ -160,7 +160,7 @@
         if self.is_stopping:
             return
         self.is_stopping = True
-        log.info("stopping")
+        self.activity_log.log_stop()
         self.decisions.stop()
         if self.server:
             self.server.close()
--- a/corallanding/telemetry/metrics.py
+++ b/corallanding/telemetry/metrics.py
@@ -74,6 +74,15 @@
         self.host_source_failures = self._counter("roster_faults", "Failures of the source of the host list")
         self.rejected_host_entries = self._counter("roster_bad_rows", "Entries of host lists rejected")
         self.hosts_listed = self._gauge("hosts_listed", "Hosts on the list")
+        self.hosts_warming_up = self._gauge(
+            "hosts_warming_up", "Listed hosts whose process is younger than its warm-up"
+        )
+        self.max_warming_utilization = self._gauge(
+            "warming_load_ratio", "Load counted at a warming host divided by its fair load, the highest of all hosts"
+        )
+        self.unreported_slices = self._gauge(
+            "slices_unreported", "Owned slices without a usage report, whose load is assumed"
+        )
         self.dropped_usage_rows = self._gauge("sums_dropped", "Rows of usage reports on unknown hosts or slices")
         self.discarded_orders = self._gauge("orders_discarded", "Actions on slices that this controller does not own")
 
