The age of a host counts from the time its start was learned, not from two wall clocks

Callers: a host that has just started is taken for one an hour old and gets a full share, or is never noticed to have restarted. Cause: HostList compared the host's own start time with the controller's clock. A start ahead of it gave a negative age, so a negative capacity and headroom without limit; a clock set back hid a restart, since only later starts counted. Evidence: tests/assignment/test_warming_hosts.py failed before in six cases (10 s back, an hour forward, ahead of the clock, set back). Change: any other start time in a list that is not outdated is a new process, whose age begins when it is learned, on the controller's clock. Only hosts of the first list have the age that it states, never below zero. The version of the last list is not stored; a restored assigner takes the next one as newer.

--- a/corallanding/assignment/host_list.py
+++ b/corallanding/assignment/host_list.py
@@ -5,6 +5,7 @@
 import math
 import zlib
 from collections.abc import Iterable
+from dataclasses import dataclass, replace
 
 from .. import interface as api
 from .publication import HOST_LIST_TIMER, DecisionReason, Publication
@@ -15,6 +16,28 @@
 """Minimum and random spread of the delay after a failed poll of the host list, as shares of the poll interval."""
 
 
+@dataclass(frozen=True)
+class ReceivedList:
+    """The list or changes that an entry is part of.
+
+    `is_first`: no host was listed before. `is_outdated`: a newer list has been received already.
+    """
+
+    kind: api.HostListKind
+    is_first: bool
+    is_outdated: bool
+
+
+def _is_new_process(host: Host, entry: api.HostEntry, received: ReceivedList) -> bool:
+    """Return whether an entry tells of another process than the last one; its start may seem earlier.
+
+    Entries without a start time, and those of an outdated list, tell of none.
+    """
+    if entry.online_since == 0.0 or received.is_outdated:
+        return False
+    return entry.online_since != host.entry.online_since
+
+
 class HostList:
     """All hosts that were ever mentioned and not removed from memory, whether they are listed or not.
 
@@ -29,6 +52,7 @@
         self.hosts = hosts
         self.has_fresh_list = False
         self.random_draws = 0  # random numbers derived from `seed` so far
+        self.version = 0  # the highest version of a list
 
     def get_or_create(self, host_id: int) -> Host:
         """Return the host with that id; an unknown host is added as not listed."""
@@ -43,8 +67,14 @@
             return
         if event.kind is not api.HostListKind.CHANGES:
             self._unlist_missing(event.entries)
+        received = ReceivedList(
+            kind=event.kind,
+            is_first=all(host.process_started_at_ms == -math.inf for host in self.hosts.values()),
+            is_outdated=event.version < self.version,
+        )
+        self.version = max(self.version, event.version)
         for entry in event.entries:
-            self._apply_entry(entry, event.kind)
+            self._apply_entry(entry, received)
         self.has_fresh_list = self.has_fresh_list or event.kind is not api.HostListKind.SAVED
 
     def _retry_poll(self) -> None:
@@ -62,7 +92,7 @@
                 host.is_listed = False
                 self.publication.require_decision(DecisionReason.LEAVING_HOST)
 
-    def _apply_entry(self, entry: api.HostEntry, kind: api.HostListKind) -> None:
+    def _apply_entry(self, entry: api.HostEntry, received: ReceivedList) -> None:
         host = self.get_or_create(entry.host)
         if entry.state == api.HostState.REMOVED:
             # The last listed entry is kept, as the host may be draining.
@@ -70,23 +100,42 @@
                 self.publication.require_decision(DecisionReason.LEAVING_HOST)
             host.is_listed = False
             return
-        if not self.has_fresh_list and kind is not api.HostListKind.CHANGES:
+        if not self.has_fresh_list and received.kind is not api.HostListKind.CHANGES:
             host.alive_at_ms = self.publication.now_ms
-        if entry.online_since > host.process_started_at_ms:
-            self._on_process_start(host, entry.online_since)
+        if host.process_started_at_ms == -math.inf:
+            self._on_first_entry(host, entry, received)
+        elif _is_new_process(host, entry, received):
+            self._on_process_start(host)
+        else:
+            entry = replace(entry, online_since=host.entry.online_since)
         if entry.state != api.HostState.UP:
             self.publication.require_decision(DecisionReason.LEAVING_HOST)
         host.entry = entry
         host.is_listed = True
 
-    def _on_process_start(self, host: Host, started_at_ms: float) -> None:
-        """Record a new process of a host, and discard the observations of the previous one."""
+    def _on_first_entry(self, host: Host, entry: api.HostEntry, received: ReceivedList) -> None:
+        """Record the process of a host that is listed for the first time.
+
+        Its age is known only from the first list: a host that is added later may have just started, and the wall
+        clocks of two machines need not agree.
+        """
+        now_ms = self.publication.now_ms
+        is_added = not received.is_first and entry.online_since > 0.0
+        if is_added or entry.online_since > now_ms - self.settings.warm_up_ms:
+            self._on_process_start(host)
+        if not is_added:
+            host.process_started_at_ms = min(entry.online_since, now_ms)
+
+    def _on_process_start(self, host: Host) -> None:
+        """Record a new process of a host, and discard the observations of the previous one.
+
+        The process counts from the time at which its start was learned, on this controller's own clock.
+        """
         now_ms = self.publication.now_ms
-        if host.process_started_at_ms > -math.inf or started_at_ms > now_ms - self.settings.warm_up_ms:
-            host.start_learned_at_ms = now_ms
-            host.failed_at_ms = -math.inf
-            host.successes = 0.0
-            host.failures = 0.0
-            host.consecutive_failures = 0
-            host.alive_at_ms = -math.inf
-        host.process_started_at_ms = started_at_ms
+        host.process_started_at_ms = now_ms
+        host.start_learned_at_ms = now_ms
+        host.failed_at_ms = -math.inf
+        host.successes = 0.0
+        host.failures = 0.0
+        host.consecutive_failures = 0
+        host.alive_at_ms = -math.inf
--- a/corallanding/platform/state_log.py
+++ b/corallanding/platform/state_log.py
@@ -82,8 +82,8 @@
 def _describe_age(host: Host, now_ms: float) -> str:
     if not host.is_warming_up:
         return ""
-    learned_ms = now_ms - host.start_learned_at_ms
-    return f", started {now_ms - host.process_started_at_ms:.0f} ms ago, learned {learned_ms:.0f} ms ago"
+    stated_ms = now_ms - host.entry.online_since
+    return f", started {now_ms - host.process_started_at_ms:.0f} ms ago, {stated_ms:.0f} ms by its own clock"
 
 
 def _describe_warming(load: WarmingLoad, now_ms: float) -> str:
--- a/tests/snapshot/test_assigner_state.py
+++ b/tests/snapshot/test_assigner_state.py
@@ -30,6 +30,8 @@
         *("due_reasons", "message_counts"),
         # Recomputed within a step, or at the start of each decision.
         *("actions", "is_ordinary_decision_due", "eligible_hosts", "spare_loads", "hosts_with_changed_load"),
+        # A restored assigner takes the next host list as newer than the one before.
+        "version",
         # Used only with `proxies_keep_orders`; such an assigner is never stored.
         *("proxies_keep_orders", "lost_acks", "applied_messages", "last_message", "cordon_delivery", "delivery"),
     }
