A warming host with a fair load of zero has no headroom, not headroom without limit

Callers: a host that has just started may be given up to three slices a window whatever their load. Cause: Host.utilization is 0.0 without a fair load. That of warming hosts is bounded by what the fleet was seen to answer, which is zero when nothing was answered for a while; the host then looked idle at any load. Evidence: test_warming_host_when_its_fair_load_is_zero_then_it_has_no_headroom failed before (utilization 0.0 under load). Change: without a fair load, the utilization of a warming host under load is infinite. Why it works: all limits compare with it.

--- a/corallanding/assignment/state.py
+++ b/corallanding/assignment/state.py
@@ -68,8 +68,14 @@
         return self.scores[slice_id]
 
     def utilization(self, added_load: float = 0.0) -> float:
-        """Return load plus `added_load` (requests per second) divided by the fair load; 0.0 while that is unknown."""
-        return (self.load + added_load) / self.fair_load if self.fair_load else 0.0
+        """Return load plus `added_load` (requests per second) divided by the fair load.
+
+        Without a fair load it is 0.0, but infinite at a warming host, which is not known to bear any load.
+        """
+        load = self.load + added_load
+        if self.fair_load:
+            return load / self.fair_load
+        return math.inf if self.is_warming_up and load > 0.0 else 0.0
 
 
 @dataclass(eq=False)
