A warming host serves nothing while warm hosts suffice

Cause: an estimate of demand was trusted beyond its age. Usage reports arrive up to a window late (6 s in the full fleet), and slices taken over from another controller have none; both were given to warming hosts, or left on hosts that restarted in place, as owner, as replica, or as previous owner held for acks. A slice that comes into demand then brings a multiple of the host's capacity within a second. Change: assignment/warming_hosts.py. Where they are needed, slices without a report are not given to them. Why it works: what is not known can no longer reach such a host; no estimate has to be right in time.

--- a/corallanding/assignment/assigner.py
+++ b/corallanding/assignment/assigner.py
@@ -27,6 +27,7 @@
 )
 from .rendezvous import RendezvousTable
 from .state import FleetEstimate, Host, Slice
+from .warming_hosts import WarmingHosts
 
 MAX_DEPARTED_HOSTS = 64
 """Departed hosts that are kept in memory in addition to one for each listed host.
@@ -66,7 +67,8 @@
         self.load_estimator = LoadEstimator(self.host_health, self.demand, self.rendezvous, self.fleet)
         self.placement = Placement(self.host_health, self.rendezvous, self.fleet)
         self.cordons = Cordons(self.host_health, self.slices)
-        self.evacuation = Evacuation(self.host_health, self.slices, self.placement, self.fleet)
+        self.warming_hosts = WarmingHosts(self.host_health, self.slices, self.placement, self.fleet)
+        self.evacuation = Evacuation(self.host_health, self.slices, self.placement, self.warming_hosts, self.fleet)
         self.load_shedding = LoadShedding(self.host_health, self.slices, self.placement, self.fleet)
         self.migration = Migration(self.host_health, self.slices, self.placement, self.fleet)
         self.started_at_ms = math.inf
--- a/corallanding/assignment/host_list.py
+++ b/corallanding/assignment/host_list.py
@@ -132,6 +132,8 @@
         The process counts from the time at which its start was learned, on this controller's own clock.
         """
         now_ms = self.publication.now_ms
+        if host.load:
+            self.publication.require_decision(DecisionReason.RESTARTED_HOST)
         host.process_started_at_ms = now_ms
         host.start_learned_at_ms = now_ms
         host.failed_at_ms = -math.inf
@@ -139,3 +141,4 @@
         host.failures = 0.0
         host.consecutive_failures = 0
         host.alive_at_ms = -math.inf
+        host.slices_taken = 0
--- a/corallanding/assignment/load_estimate.py
+++ b/corallanding/assignment/load_estimate.py
@@ -11,6 +11,7 @@
 from .limits import FAILURE_MEMORY_MS, MAX_UTILIZATION, OUTLIER_FACTOR, OVERLOAD_RATIO
 from .rendezvous import RendezvousTable
 from .state import FleetEstimate, Host, SpareLoad, upper_median
+from .warming_hosts import may_take_slices, needs_warming_hosts
 
 RAMP_SHARE_OF_WARM_UP = 0.75
 """Share of the warm-up time in which a new host's capacity share grows to the full one (12 to 13.5 s)."""
@@ -67,27 +68,26 @@
         warm_share = settings.warm_up_initial_share + (1.0 - settings.warm_up_initial_share) * ramp
         has_cold_cache = settings.caches_keys and self.host_health.is_warming_up(host)
         cache_share = COLD_CACHE_FACTOR * settings.overload_factor if has_cold_cache else 1.0
-        fleet = self.fleet
-        kind_ms = fleet.typical_latency_ms_by_kind.get(host.entry.kind) or fleet.typical_latency_ms or 1.0
+        kind_ms = self.fleet.typical_latency_ms_by_kind.get(host.entry.kind) or self.fleet.typical_latency_ms or 1.0
         return host.entry.weight * warm_share * cache_share / math.sqrt(kind_ms * (host.base_latency_ms or kind_ms))
 
     def update(self) -> None:
         """Recompute all estimates for the current time."""
-        hosts = self.host_health.hosts.values()
         self._update_typical_latencies()
         self._decay_counts()
         total_load = self._update_loads()
-        present = [
-            host
-            for host in hosts
-            if (host.is_listed or self.host_health.is_alive_but_unlisted(host)) and host.entry.state == api.HostState.UP
-        ]
+        present = [host for host in self.host_health.hosts.values() if self._is_present(host)]
         serving = self._choose_eligible_hosts(present)
+        self.fleet.needs_warming_hosts = needs_warming_hosts(present, self.fleet)
         self._update_fair_loads(serving, total_load)
         self._update_healthy_hosts(total_load)
         self._prepare_placement()
         self.rendezvous.add(present)
 
+    def _is_present(self, host: Host) -> bool:
+        is_listed = host.is_listed or self.host_health.is_alive_but_unlisted(host)
+        return is_listed and host.entry.state == api.HostState.UP
+
     def _update_typical_latencies(self) -> None:
         latencies_by_kind: dict[int, list[float]] = {}
         for host in self.host_health.hosts.values():
@@ -188,7 +188,7 @@
         A warming host gets at most the peak load: with more requests than that, a full share would overload it.
         """
         fleet = self.fleet
-        capacity = sum(host.capacity for host in serving)
+        capacity = sum(host.capacity for host in serving if host.load or may_take_slices(host, fleet))
         owned_share = len(self.slices) / (self.settings.slice_count or 1)
         counts_per_second = math.log(2.0) * 1000.0 / (PEAK_HALF_LIFE_REPORTS * self.settings.report_interval_ms)
         self._update_peak(capacity, owned_share, counts_per_second)
--- a/corallanding/assignment/placement.py
+++ b/corallanding/assignment/placement.py
@@ -60,8 +60,8 @@
         may have been missed. `added_load` is in requests per second.
         """
         excluded = (slice_.owner, *slice_.replicas)
-        # A slice with replicas and no report yet is assumed to be in high demand, and not given to a warming host.
-        max_taken = MAX_SLICES_PER_WINDOW if slice_.rate_by_class or not slice_.replicas else 0
+        # A slice without a report may be in high demand, and is not given to a warming host.
+        max_taken = MAX_SLICES_PER_WINDOW if slice_.rate_by_class else 0
         max_score_factor = self.fleet.max_score_factor
         best: Host | None = None
         best_value = 0.0
@@ -110,9 +110,14 @@
         return min(others, key=lambda host: host.utilization(added_load)) if others else None
 
     def may_take_slice(self, host: Host, max_taken: int) -> bool:
-        """Return whether a host may take a slice; a warming one takes at most `max_taken` per window, by quota."""
+        """Return whether a host may take a slice.
+
+        A warming one takes slices only if it is needed, and at most `max_taken` per window, by quota.
+        """
         if not host.is_warming_up:
             return True
+        if not self.fleet.needs_warming_hosts:
+            return False
         return host.slices_taken < max_taken and self.publication.may_begin(QuotaKind.WARM_UP_SLICES, host.id, False)
 
     def passes_gate(self, slice_: Slice, destination: Host) -> bool:
@@ -160,6 +165,15 @@
         self._count_taken_slice(host)
         slice_.replicas.append(host)
 
+    def remove_replica(self, slice_: Slice, host: Host) -> None:
+        """Remove a replica from a slice; the other hosts of the slice share its load."""
+        load_before = slice_.load_per_host
+        slice_.replicas.remove(host)
+        self.shift_load(host, -load_before)
+        for other in (slice_.owner, *slice_.replicas):
+            if other:
+                self.shift_load(other, slice_.load_per_host - load_before)
+
     def shift_load(self, host: Host, load: float) -> None:
         """Add `load` to the load of a host, in requests per second."""
         host.load += load
--- a/corallanding/assignment/publication.py
+++ b/corallanding/assignment/publication.py
@@ -42,6 +42,7 @@
 
     FAILED_HOST = "failed host"
     LEAVING_HOST = "leaving host"  # draining, removed or missing from a full list
+    RESTARTED_HOST = "restarted host"  # with slices
     GRANTED_SLICE = "granted slice"
     POSTPONED_ENTRIES = "postponed entries"  # table entries that exceeded the line budget
 
--- a/corallanding/assignment/state.py
+++ b/corallanding/assignment/state.py
@@ -128,6 +128,7 @@
     answerable_share: float = 0.0  # peak observed throughput divided by the current requests
     load_per_capacity: float = 0.0  # load of this controller's slices, by capacity of the serving hosts
     site_load_per_capacity: float = 0.0  # the same, extrapolated to the slices of all controllers
+    needs_warming_hosts: bool = True  # warm hosts alone do not suffice, so that warming ones may serve slices
     max_score_factor: float = 0.0  # upper bound of a host's weight times headroom
     eligible_hosts: list[Host] = field(default_factory=list)
     spare_loads: list[SpareLoad] = field(default_factory=list)  # spare loads of the healthy hosts, ascending
--- a/tests/snapshot/test_assigner_state.py
+++ b/tests/snapshot/test_assigner_state.py
@@ -18,6 +18,7 @@
     {
         *("publication", "pending_versions", "host_list", "host_health", "demand", "fleet", "load_estimator"),
         *("admission", "placement", "cordons", "evacuation", "load_shedding", "migration"),
+        "warming_hosts",
     }
 )
 
@@ -30,6 +31,7 @@
         *("due_reasons", "message_counts"),
         # Recomputed within a step, or at the start of each decision.
         *("actions", "is_ordinary_decision_due", "eligible_hosts", "spare_loads", "hosts_with_changed_load"),
+        "needs_warming_hosts",
         # A restored assigner takes the next host list as newer than the one before.
         "version",
         # Used only with `proxies_keep_orders`; such an assigner is never stored.
