run repeats calls that are refused for a moment at its start and at SIGHUP

Callers: one refused socket, bind, listen or epoll instance at the start ends run with code 1; a configuration that cannot be read in the moment of SIGHUP leaves the addresses of before in use for good. Cause: each was tried once. PlatformController.start raised the first OSError, reload gave up at the first error. The list of modules that run may import has the new one, as it had the other small ones.

--- a/corallanding/platform/config.py
+++ b/corallanding/platform/config.py
@@ -18,6 +18,7 @@
 from ..json_errors import JSON_DECODE_ERRORS
 from ..simulator_adapter.fields import MalformedLineError
 from ..simulator_adapter.settings import milliseconds, positive, read_settings
+from ..transient_errors import retry_transient_blocking
 from .settings_pairs import flatten
 
 DEFAULT_CONNECT_TIMEOUT_MS = 300.0
@@ -83,10 +84,13 @@
     return str(ipaddress.ip_address(host.strip("[]"))), int(port)
 
 
-def read(path: str) -> Config:
-    """Read and parse a file. Raises InvalidConfigError, which names the file."""
+def read(path: str, max_retry_seconds: float = 0.0) -> Config:
+    """Read and parse a file. Raises InvalidConfigError, which names the file.
+
+    Reading is repeated for `max_retry_seconds`, blocking, while it fails for a reason that may pass.
+    """
     try:
-        return parse(Path(path).read_bytes())
+        return parse(retry_transient_blocking(Path(path).read_bytes, max_retry_seconds))
     except OSError as error:
         raise InvalidConfigError(f"{path}: {error.strerror}") from None
     except InvalidConfigError as error:
--- a/corallanding/platform/program.py
+++ b/corallanding/platform/program.py
@@ -15,10 +15,13 @@
 
 import uvloop
 
+from ..transient_errors import retry_transient_blocking
 from .config import Config, InvalidConfigError, read
 from .logs import configure, log
 from .service import PlatformController
 
+MAX_RETRY_SECONDS = 5.0  # for which reading the configuration and creating the event loop are repeated
+
 
 class ExitCode(IntEnum):
     """Exit codes of the program."""
@@ -59,11 +62,11 @@
         print("corallanding: LB_CONFIG does not name a configuration file", file=sys.stderr)
         return ExitCode.CONFIGURATION_UNUSABLE
     try:
-        config = read(path)
+        config = read(path, MAX_RETRY_SECONDS)
     except InvalidConfigError as error:
         print(f"corallanding: {error}", file=sys.stderr)
         return ExitCode.CONFIGURATION_UNUSABLE
-    loop = uvloop.new_event_loop()
+    loop = retry_transient_blocking(uvloop.new_event_loop, MAX_RETRY_SECONDS)
     try:
         return loop.run_until_complete(serve(config, path))
     finally:
--- a/corallanding/platform/service.py
+++ b/corallanding/platform/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import gc
-import resource
 from collections.abc import Sequence
 
 from .. import interface as api
@@ -21,19 +20,20 @@
 from ..relay.pending_calls import PendingCalls
 from ..relay.subscription import RelayView
 from ..relay.subscription_connection import Subscription
+from ..transient_errors import retry_transient
 from . import trace
 from .activity_log import ActivityLog
 from .clock import Clock
-from .config import Config, InvalidConfigError, parse_address, read
+from .config import Config, parse_address
+from .config_reload import ConfigReloader
 from .decision_loop import DecisionLoop
+from .descriptors import max_unidentified
 from .endpoint_updates import HostListSource
 from .logs import RateLimitedLogger, log
 from .lost_acks import LostAckReporter
 
+MAX_LISTEN_SECONDS = 10.0  # for which a refused listening socket is requested again
 MAX_START_SECONDS = 3.0  # heartbeats are answered after this time even without the initial state of the relay
-RESERVED_DESCRIPTORS = 64  # descriptors for event loop, log, relay, discovery and health checks
-MIN_UNIDENTIFIED = 16
-MAX_UNIDENTIFIED = 256
 MAX_HEALTH_CHECKS = 16
 HEALTH_CHECK_TIMEOUT_FACTOR = 2.0  # multiple of the proxies' connect timeout
 MAX_KIND_CHARACTERS = 60  # characters before the colon of a warning that identify its kind
@@ -44,9 +44,7 @@
 
     def __init__(self, config: Config, path: str, is_traced: bool = False) -> None:
         self.config = config
-        self.path = path
         self.is_traced = is_traced
-        self.loop = asyncio.get_running_loop()
         self.clock = Clock()
         self.started_at_ms = self.clock()
         self.is_stopping = False
@@ -68,6 +66,7 @@
             self.intake.on_rejected = log.info
         self.server: CollectorServer | None = None
         self.activity_log = ActivityLog(self, is_traced)
+        self.config_reloader = ConfigReloader(path, self.set_addresses)
 
     def _create_host_list(self) -> None:
         self.host_list_source = HostListSource(self.config, self.logger, self.on_events, self.is_traced)
@@ -108,22 +107,28 @@
     # ---- start and stop ------------------------------------------------------------------------------------
 
     async def run(self) -> None:
-        """Run until `stop`. Raises OSError if the listening address cannot be used."""
-        self.start()
+        """Run until `stop`. Raises OSError if the listening address cannot be used for `MAX_LISTEN_SECONDS`."""
+        self.server = await retry_transient(self.listen, MAX_LISTEN_SECONDS)
+        if self.is_stopping:
+            self.server.close()
+        else:
+            self.start()
         await self.call_connection.finished.wait()  # takes at most the answer timeout of a call
         self.call_connection.close()
 
+    def listen(self) -> CollectorServer:
+        """Return a server at the listening address. Raises OSError."""
+        config = self.config
+        return CollectorServer(config.listen, self.intake, max_unidentified(config), self.on_events, self.warn)
+
     def start(self) -> None:
-        """Listen, run the first step, and connect. Raises OSError."""
-        max_sockets = self.config.max_sockets or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        max_unidentified = max(MIN_UNIDENTIFIED, min(MAX_UNIDENTIFIED, max_sockets - 2 * RESERVED_DESCRIPTORS))
-        self.server = CollectorServer(self.config.listen, self.intake, max_unidentified, self.on_events, self.warn)
+        """Run the first step, and connect."""
         if saved := self.host_list_source.apply_saved(self.config.saved_list):
             self.inbox.add_event(self.clock(), saved)
         self.decisions.step()
         self.subscription.start()
         self.discovery.start()
-        self.loop.call_later(MAX_START_SECONDS, self.set_ready)
+        asyncio.get_running_loop().call_later(MAX_START_SECONDS, self.set_ready)
         self.activity_log.start()
 
     def set_ready(self) -> None:
@@ -143,14 +148,11 @@
 
     def reload(self) -> None:
         """Apply the addresses of a changed configuration (SIGHUP); other changes take effect at the next start."""
-        if self.is_stopping:
-            return
-        try:
-            config = read(self.path)
-        except InvalidConfigError as error:
-            log.error("configuration not reloaded, the old one stays in effect: %s", error)
-            return
-        log.info("configuration reloaded: discovery %s, store %s", config.discovery, config.relay)
+        if not self.is_stopping:
+            self.config_reloader.reload()
+
+    def set_addresses(self, config: Config) -> None:
+        """Move the connections to the addresses of a configuration."""
         self.subscription.set_address(config.relay)
         self.call_connection.set_address(config.relay)
         self.discovery.set_address(config.discovery)
@@ -166,6 +168,7 @@
             self.server.close()
         self.subscription.close()
         self.discovery.stop()
+        self.config_reloader.stop()
         self.health_checker.stop()
         self.call_connection.finish()
 
--- a/tests/platform/setup.py
+++ b/tests/platform/setup.py
@@ -53,8 +53,13 @@
 
 
 @contextlib.asynccontextmanager
-async def running_platform(folder: Path, command: list[str] | None = None) -> AsyncIterator[PlatformSetup]:
-    """Start a controller, with `command` or as the platform does, and wait for a heartbeat; end all at the end."""
+async def running_platform(
+    folder: Path, command: list[str] | None = None, environment: dict[str, str] | None = None
+) -> AsyncIterator[PlatformSetup]:
+    """Start a controller, with `command` or as the platform does, and wait for a heartbeat; end all at the end.
+
+    `environment` is added to that of the test.
+    """
     relay, hosts = StandInRelay(), StandInHosts()
     dial = await hosts.open()
     rows = [list_entry(f"s-{n}", dial=dial) for n in range(6)]
@@ -70,6 +75,7 @@
     }
     controller = ControllerProcess(config, folder / "config.json")
     controller.command = command or controller.command
+    controller.environment = environment or {}
     await controller.start()
     try:
         setup = PlatformSetup(relay, agent, hosts, dial, controller)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -230,6 +230,7 @@
     def __init__(self, config: dict[str, Any], path: Path) -> None:
         self.config, self.path = config, path
         self.command = [sys.executable, "-m", "corallanding.platform"]
+        self.environment: dict[str, str] = {}  # in addition to that of the test
         self.write_config()
 
     def write_config(self, **changes: Any) -> None:
@@ -238,7 +239,7 @@
         self.path.write_bytes(msgspec.json.encode(self.config))
 
     async def start(self) -> None:
-        env = {**os.environ, "LB_CONFIG": str(self.path)}
+        env = {**os.environ, "LB_CONFIG": str(self.path), **self.environment}
         self.process = await asyncio.create_subprocess_exec(*self.command, env=env, stderr=asyncio.subprocess.PIPE)
 
     def send_signal(self, signal_number: signal.Signals) -> None:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -58,6 +58,7 @@
     "corallanding.controller.acceptor",
     "corallanding.read_scheduler",
     "corallanding.rate_limit",
+    "corallanding.transient_errors",
     "corallanding.endpoints.endpoint_list",
 }
 
--- a/tests/test_structure.py
+++ b/tests/test_structure.py
@@ -21,6 +21,7 @@
     "host_names",
     "resp",
     "json_errors",
+    "transient_errors",
     "connection",
     "read_scheduler",
     "assignment",
