An accept that fails for one connection is no error of the listening socket

Callers: run and the steward log a traceback for each connection that the kernel gives up, and skip that turn's other work of the listener. Cause: Listener._on_readable knew three of the errors that accept(2) documents for a single connection, and raised at all others. Evidence: test_connections_when_accept_fails_for_one_of_them_then_the_others_are_accepted failed before for EPROTO, ENETDOWN and EHOSTUNREACH. Change: all documented ones end that turn only; errors of descriptors and memory pause the listener as before.

--- a/corallanding/controller/acceptor.py
+++ b/corallanding/controller/acceptor.py
@@ -18,6 +18,11 @@
 BURST_S = 0.05  # burst size, as seconds of connections at the configured rate
 MIN_BURST = 4.0  # connections
 OUT_OF_DESCRIPTORS_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+FAILED_CONNECTION_ERRORS = {
+    *(errno.EAGAIN, errno.EINTR, errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.ENETUNREACH),
+    *(errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.ENONET, errno.ETIMEDOUT),
+}
+"""Errors of `accept` that concern the connection it would have returned: others can be accepted."""
 
 
 class Listener:
@@ -67,9 +72,9 @@
         while self.tokens >= 1.0:
             try:
                 connection, _ = self.socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
             except OSError as error:
+                if error.errno in FAILED_CONNECTION_ERRORS:
+                    return
                 if error.errno not in OUT_OF_DESCRIPTORS_ERRORS:
                     raise
                 self.on_warning(f"no file descriptor for a new connection: {error.strerror}")
--- a/tests/controller/test_acceptor.py
+++ b/tests/controller/test_acceptor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import resource
 import socket
 from pathlib import Path
@@ -16,6 +17,21 @@
 from corallanding.wire import frames
 
 
+class FailingSocket(socket.socket):
+    """A listening socket whose first three calls of `accept` fail."""
+
+    def __init__(self, number: int) -> None:
+        super().__init__(socket.AF_INET, socket.SOCK_STREAM)
+        self.number = number
+        self.failures_left = 3
+
+    def accept(self) -> Any:
+        if self.failures_left:
+            self.failures_left -= 1
+            raise OSError(self.number, "planted")
+        return super().accept()
+
+
 def test_connections_when_descriptors_run_out_then_accepted_later_at_the_rate() -> None:
     async def scenario() -> None:
         warnings: list[str] = []
@@ -57,6 +73,31 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("number", [errno.EPROTO, errno.ENETDOWN, errno.EHOSTUNREACH, errno.ECONNABORTED, errno.EINTR])
+def test_connections_when_accept_fails_for_one_of_them_then_the_others_are_accepted(number: int) -> None:
+    """Guards against errors of one connection that are taken for errors of the listening socket."""
+
+    async def scenario() -> None:
+        loop_errors: list[Any] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: loop_errors.append(context))
+        connected: list[Any] = []
+
+        class RecordingProtocol(asyncio.Protocol):
+            def connection_made(self, transport: Any) -> None:
+                connected.append(transport)
+
+        listening = FailingSocket(number)
+        listening.bind(("127.0.0.1", 0))
+        listening.listen(10)
+        server = Listener("", 0, 10, 100.0, RecordingProtocol, lambda _: None, inherited=listening)
+        with socket.create_connection(listening.getsockname()):
+            await until(lambda: connected)
+        server.close()
+        assert loop_errors == []
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("sends_hello", range(2))
 def test_connections_when_clients_connect_in_a_loop_then_others_are_not_delayed(
     tmp_path: Path, sends_hello: int
