A health check that this machine cannot open says nothing of the host

Callers: a good host is evacuated, and its load pushed onto others, because the controller has no descriptor, buffer, port or route for a moment. Cause: every OSError of opening the connection was UNREACHABLE, which counts against a suspect host like a refusal by the host. Change: such errors are retried until the check's time limit; then the result is FULL, which is evidence of nothing.

--- a/corallanding/health_check/checker.py
+++ b/corallanding/health_check/checker.py
@@ -1,7 +1,8 @@
 """Health checks: one HTTP `GET` on a host's address each, with exactly one `HealthCheckOutcome`.
 
 Status 2xx is OK; 503 and 429 are FULL (draining, or too many checks at once); any other status is ERROR. No answer in
-time is TIMEOUT, a refused or impossible connection UNREACHABLE, a broken one RESET, an answer that is not HTTP OTHER.
+time is TIMEOUT, a refused or impossible connection UNREACHABLE, a broken one RESET, an answer that is not HTTP OTHER. A
+connection that this machine cannot open is no evidence on the host: it is tried again, and is FULL at the time limit.
 The host reports its load as `name=value` pairs: in the `X-Load` header, separated by blanks, or, if `load_in_body` is
 set, in the body, separated by commas.
 """
@@ -18,6 +19,7 @@
 
 from .. import interface as api
 from ..endpoints.endpoint_list import parse_loopback_address
+from ..transient_errors import LOCAL_ERRNOS, RETRY_INTERVAL_SECONDS
 
 MAX_ANSWER_BYTES = 16_384
 MAX_LOAD_VALUES = 16
@@ -44,6 +46,7 @@
         self.body = b""
         self.has_headers = False
         self.has_body_length = False  # the headers define where the body ends
+        self.has_local_failure = False  # this machine could not open the connection at first
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the request."""
@@ -181,16 +184,17 @@
         return api.HealthCheckResult(host, answer.outcome, self.clock() - started_at_ms, answer.load)
 
     async def _request(self, address: str) -> HealthCheckAnswer:
-        loop = asyncio.get_running_loop()
-        answer: asyncio.Future[HealthCheckAnswer] = loop.create_future()
+        answer: asyncio.Future[HealthCheckAnswer] = asyncio.get_running_loop().create_future()
         connection = HealthCheckConnection(self.path, answer, self.load_in_body)
         transport: asyncio.Transport | None = None
         try:
             async with asyncio.timeout(self.timeout_ms / 1000.0):
-                transport, _ = await loop.create_connection(lambda: connection, *self.parse_address(address))
+                while transport is None:
+                    transport = await self._open_connection(connection, address)
                 return await answer
         except TimeoutError:
-            return HealthCheckAnswer(api.HealthCheckOutcome.TIMEOUT, {})
+            outcome = api.HealthCheckOutcome.TIMEOUT if transport else self._outcome_without_connection(connection)
+            return HealthCheckAnswer(outcome, {})
         except ConnectionResetError:
             return HealthCheckAnswer(api.HealthCheckOutcome.RESET, {})
         except (OSError, ValueError):
@@ -199,6 +203,23 @@
             if transport:
                 transport.abort()
 
+    async def _open_connection(self, connection: HealthCheckConnection, address: str) -> asyncio.Transport | None:
+        """Return the transport of a new connection; None after a pause if this machine could not open it."""
+        loop = asyncio.get_running_loop()
+        try:
+            transport, _ = await loop.create_connection(lambda: connection, *self.parse_address(address))
+        except OSError as error:
+            if error.errno not in LOCAL_ERRNOS:
+                raise
+            connection.has_local_failure = True
+            await asyncio.sleep(RETRY_INTERVAL_SECONDS)
+            return None
+        return transport
+
+    @staticmethod
+    def _outcome_without_connection(connection: HealthCheckConnection) -> api.HealthCheckOutcome:
+        return api.HealthCheckOutcome.FULL if connection.has_local_failure else api.HealthCheckOutcome.TIMEOUT
+
     def stop(self) -> None:
         """Cancel every check; none of them is reported."""
         self.waiting.clear()
--- a/corallanding/transient_errors.py
+++ b/corallanding/transient_errors.py
@@ -17,6 +17,14 @@
 )
 """Errors whose cause lies outside the failed call and may pass: resources of the machine, its network, its disk."""
 
+LOCAL_ERRNOS = frozenset(
+    {
+        *(errno.EAGAIN, errno.EINTR, errno.ENOMEM, errno.ENOBUFS, errno.EMFILE, errno.ENFILE),
+        *(errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.ENETDOWN, errno.ENETUNREACH),
+    }
+)
+"""Errors of opening a connection that say something of this machine only, not of the peer."""
+
 RETRY_INTERVAL_SECONDS = 0.05
 
 T = TypeVar("T")
--- a/tests/health_check/test_checker.py
+++ b/tests/health_check/test_checker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from typing import Any
 
 import pytest
@@ -55,6 +56,41 @@
     run_async(scenario)
 
 
+@pytest.mark.parametrize("number", [errno.ENFILE, errno.ENOBUFS, errno.EADDRNOTAVAIL, errno.ENETUNREACH])
+@pytest.mark.parametrize(
+    ("failures", "expected"), [(2, api.HealthCheckOutcome.OK), (1_000, api.HealthCheckOutcome.FULL)]
+)
+def test_check_when_this_machine_cannot_open_a_connection_then_it_says_nothing_of_the_host(
+    monkeypatch: pytest.MonkeyPatch, number: int, failures: int, expected: api.HealthCheckOutcome
+) -> None:
+    """Guards against a host that is evacuated because the controller has no descriptor or no route for a moment."""
+
+    async def scenario() -> None:
+        results: list[api.HealthCheckResult] = []
+        loop = asyncio.get_running_loop()
+        create_connection = loop.create_connection
+        left = [failures]
+
+        async def failing(*arguments: Any) -> Any:
+            if left[0]:
+                left[0] -= 1
+                raise OSError(number, "planted")
+            return await create_connection(*arguments)
+
+        monkeypatch.setattr(loop, "create_connection", failing)
+        async with StandInServer() as server:
+            checker = health_checker(results, timeout_ms=LONG_TIMEOUT_MS if failures == 2 else 200.0)
+            checker.check(7, address_text(server.address))
+            if failures == 2:
+                peer = await server.next_connection()
+                await peer.read_request_path()
+                peer.send_at_once(OK_ANSWER)
+            await until(lambda: results)
+            assert [result.outcome for result in results] == [expected]
+
+    run_async(scenario)
+
+
 def test_check_when_it_raises_then_it_is_reported_and_its_host_can_be_checked_again() -> None:
     async def scenario() -> None:
         results: list[api.HealthCheckResult] = []
