A heartbeat request that was read is answered or rejected before its connection closes

Callers: a request for a sign of life is read and its connection closed with no answer: at SIGTERM before the controller is ready, when a newer collector replaces the connection, when the peer has ended its side, and beyond 16 requests on one connection. Cause: only set_ready answered waiting requests; no other end of a connection knew of them, and their count had a limit beyond which they were forgotten. Change: closing a connection rejects what waits; the server's stop rejects all, also requests read after it; a peer that only ends its side is answered. The test of the stop before readiness expected silence; it expects the rejection now, and so still no positive answer, under its new name, which the planted race follows. Requests that wait are bounded by the allowance of heartbeats.

--- a/corallanding/collector/server.py
+++ b/corallanding/collector/server.py
@@ -15,12 +15,14 @@
 
 MAX_UNREAD_BYTES = 4_096  # answers that a peer may leave unread
 IDENTIFICATION_TIMEOUT_MS = 1_000.0
-MAX_PENDING_HEARTBEATS = 16  # unanswered requests counted for one connection; further ones get no answer
 MAX_HEARTBEATS_PER_SECOND = 100.0  # of one connection; it is also the largest burst
 MIN_REPORTS_PER_SECOND = 2_000.0
 MAX_REPORT_RATE_FACTOR = 10.0
 """Reports that one connection may send, as a multiple of the rate of the whole site; at least the number above."""
 
+STOPPED = "stopped before the answer"
+"""Reason for closing a connection whose heartbeat requests are rejected at the stop."""
+
 LISTEN_BACKLOG = 1024
 ACCEPTED_PER_SECOND = 2_000.0
 
@@ -35,6 +37,7 @@
         self.heartbeat_allowance = TokenBucket(MAX_HEARTBEATS_PER_SECOND, MAX_HEARTBEATS_PER_SECOND, monotonic_ms())
         self.report_allowance = TokenBucket(server.max_report_rate, server.max_report_rate, monotonic_ms())
         self.pending_heartbeats = 0
+        self.is_half_closed = False  # the peer sends no more, but may wait for an answer
         self.identification_timeout: ReadTimeout | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -67,7 +70,7 @@
         if result.reports:
             self.server.on_reports(result.reports)
         if result.heartbeats:
-            self.pending_heartbeats = min(self.pending_heartbeats + result.heartbeats, MAX_PENDING_HEARTBEATS)
+            self.pending_heartbeats += result.heartbeats
             self.server.on_heartbeat(self)
         if result.close_reason:
             self.close(result.close_reason, result.answer)
@@ -86,18 +89,31 @@
         if self.pending_heartbeats and not self.transport.is_closing():
             self.transport.write(HEARTBEAT_ANSWER * self.pending_heartbeats)
             self.pending_heartbeats = 0
-            if self.identification_timeout is None and self.session.zone is None:  # it expired before this answer
+            if self.is_half_closed:
+                self.transport.close()
+            elif self.identification_timeout is None and self.session.zone is None:  # it expired before this answer
                 self.identification_timeout = self.start_identification_timeout()
 
+    def eof_received(self) -> bool:
+        """Keep the connection open while a heartbeat request of the peer is unanswered."""
+        self.process_waiting_data()
+        self.is_half_closed = True
+        return bool(self.pending_heartbeats)
+
     def pause_writing(self) -> None:
         """Close the connection of a peer that does not read."""
         self.close("answers not read")
 
     def close(self, reason: str, answer: bytes = b"") -> None:
-        """Close the connection after sending `answer`, and count it by `reason`."""
+        """Close the connection after sending `answer`, and count it by `reason`.
+
+        Heartbeat requests that have no answer yet are rejected: a request that was read needs a final answer.
+        """
         if self.transport.is_closing():
             return
         self.server.close_reasons[reason] += 1
+        if self.pending_heartbeats:
+            answer = answer or REJECT
         if answer:
             self.transport.write(answer)
             self.transport.close()
@@ -173,23 +189,31 @@
                 connections.remove(connection)
 
     def on_heartbeat(self, connection: CollectorConnection) -> None:
-        """Answer a heartbeat request, if the controller is ready."""
+        """Answer a heartbeat request if the controller is ready; reject it if it never will be."""
         if self.is_ready:
             connection.answer_heartbeats()
+        elif self.listener.is_closed:
+            connection.close(STOPPED)
 
     def set_ready(self) -> None:
         """Answer heartbeats from now on, and those that were requested before."""
         self.is_ready = True
-        collectors = [connection for connections in self.collectors.values() for connection in connections]
-        for connection in [*self.unidentified, *collectors]:
+        for connection in self._connections():
             connection.answer_heartbeats()
 
     @property
     def unanswered_count(self) -> int:
         """The number of connections with a heartbeat request that is not answered yet."""
-        collectors = [connection for connections in self.collectors.values() for connection in connections]
-        return sum(bool(connection.pending_heartbeats) for connection in [*self.unidentified, *collectors])
+        return sum(bool(connection.pending_heartbeats) for connection in self._connections())
 
     def close(self) -> None:
-        """Stop accepting connections."""
+        """Stop accepting connections, and reject the heartbeat requests that have been received and not answered."""
         self.listener.close()
+        for connection in self._connections():
+            connection.process_waiting_data()
+            if connection.pending_heartbeats:
+                connection.close(STOPPED)
+
+    def _connections(self) -> list[CollectorConnection]:
+        collectors = [connection for connections in self.collectors.values() for connection in connections]
+        return [*self.unidentified, *collectors]
--- a/tests/platform/test_planted_races.py
+++ b/tests/platform/test_planted_races.py
@@ -281,7 +281,7 @@
     ),
     (
         ready_after_stop,
-        lambda tmp_path: stop_and_reload_tests.test_stop_when_not_ready_then_no_heartbeat_is_answered(tmp_path),
+        lambda tmp_path: stop_and_reload_tests.test_stop_when_not_ready_then_heartbeats_are_rejected(tmp_path),
     ),
     (
         steps_after_stop,
--- a/tests/platform/test_stop_and_reload.py
+++ b/tests/platform/test_stop_and_reload.py
@@ -20,6 +20,7 @@
 from platform_samples import attach, entry, list_entry, owner
 
 from corallanding import interface as api
+from corallanding.collector.session import REJECT
 from corallanding.resp import encode
 from tests.platform.support import change_addresses, controller_harness
 from tests.relay.support import PING, WATCH_RESULT, taken
@@ -49,7 +50,9 @@
     run_async(scenario)
 
 
-def test_stop_when_not_ready_then_no_heartbeat_is_answered(tmp_path: Path) -> None:
+def test_stop_when_not_ready_then_heartbeats_are_rejected(tmp_path: Path) -> None:
+    """Guards against a request that is read and closed with no answer, and against a positive one after the stop."""
+
     async def scenario() -> None:
         async with controller_harness(tmp_path) as harness:
             peer = PeerConnection(*await asyncio.open_connection(*harness.listening_address()))
@@ -58,7 +61,7 @@
             harness.controller.stop()
             harness.controller.set_ready()  # the start timer may fire in the same loop iteration
             peer.writer.write_eof()
-            assert await peer.reader.read() == b""
+            assert await peer.reader.read() == REJECT
 
     run_async(scenario)
 
