corallanding steward repeats a start that fails for a reason that may pass

Callers: a disk that is full, or fails, or one refused socket in the moment of a start ends the steward with code 4 or 1; a supervisor then meets its crash-loop backoff of up to 30 s. Cause: Controller.start was tried once; errors of SQLite did not say whether they pass. Change: StoreError has is_transient, from SQLite's result code or the errno; the start is repeated for 30 s while its error may pass. A store that is locked by another controller or damaged ends the start at once, as before.

--- a/corallanding/controller/main.py
+++ b/corallanding/controller/main.py
@@ -18,6 +18,7 @@
 from ..config import ConfigError, ControllerConfig, load_controller
 from ..store import StoreError
 from ..telemetry import configure, log
+from ..transient_errors import RETRY_INTERVAL_SECONDS, is_transient, retry_transient_blocking
 from ..upgrade.pipe import HandoverPipe
 from .context import ExitCode, ProcessState
 from .crash_loop import STABLE_AFTER_MS, StartHistory, advise_start
@@ -25,6 +26,7 @@
 from .event_inbox import Decider
 from .handover_receiver import HandoverReceiver
 
+MAX_START_SECONDS = 30.0  # for which a start that fails is repeated
 LINGER_S = 0.05  # lets the last writes on links be sent before the exit
 
 
@@ -73,7 +75,26 @@
     if advice.wait_ms:
         log.error("crash loop: waiting before the next attempt", deaths=advice.recent_failures, wait_ms=advice.wait_ms)
         await asyncio.sleep(advice.wait_ms / 1000.0)
-    await controller.start()
+    await start_persistently(controller)
+
+
+async def start_persistently(controller: Controller) -> None:
+    """Start, and repeat that while it fails for a reason that may pass, as a full disk or an address in use."""
+    deadline_s = time.monotonic() + MAX_START_SECONDS
+    attempts = 0
+    while True:
+        attempts += 1
+        try:
+            await controller.start()
+        except (StoreError, OSError) as error:
+            is_passing = error.is_transient if isinstance(error, StoreError) else is_transient(error)
+            if not is_passing or time.monotonic() >= deadline_s:
+                raise
+            if attempts == 1:
+                log.warning("start fails for now; it is repeated", why=str(error))
+        else:
+            return
+        await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
 
 async def take_over(controller: Controller, config: ControllerConfig, handover_fd: int) -> bool:
@@ -107,6 +128,11 @@
     os._exit(exit_code)
 
 
+def new_event_loop() -> asyncio.AbstractEventLoop:
+    """Return a new event loop, for which descriptors may lack for a moment."""
+    return retry_transient_blocking(uvloop.new_event_loop, MAX_START_SECONDS)
+
+
 def run(
     path: str,
     record: str | None = None,
@@ -118,7 +144,8 @@
     record: the file to record every step in. take_over: the descriptor of the pipe to the process that hands over.
     """
     try:
-        return uvloop.run(serve(path, record, decider, take_over))
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            return runner.run(serve(path, record, decider, take_over))
     except ConfigError as error:
         print(error, file=sys.stderr)
         return ExitCode.CONFIGURATION
--- a/corallanding/controller/record_store.py
+++ b/corallanding/controller/record_store.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import sqlite3
 import time
@@ -13,7 +14,7 @@
 
 from ..quorum_records.replica import Replica, UnsavedChanges
 from ..quorum_records.stored_rows import Ballot, PeerFile
-from ..store.database_file import lock_database, open_database
+from ..store.database_file import is_transient, lock_database, open_database
 from .recovery import boot_id
 
 TABLES = """
@@ -54,7 +55,8 @@
             self._begin_opening(self.db)
         except (BlockingIOError, sqlite3.Error, ValueError) as error:
             self.close()
-            raise OSError(f"{path}: {error}") from None
+            number = errno.EIO if isinstance(error, sqlite3.Error) and is_transient(error) else errno.EINVAL
+            raise OSError(number, str(error), path) from None
 
     def _begin_opening(self, db: sqlite3.Connection) -> None:
         """Read the metadata, and store the incremented number of openings."""
--- a/corallanding/store/api.py
+++ b/corallanding/store/api.py
@@ -13,7 +13,14 @@
 
 
 class StoreError(StorageError):
-    """The store could not be read or written: it is full, read-only, locked or damaged. No write is applied in part."""
+    """The store could not be read or written: it is full, read-only, locked or damaged. No write is applied in part.
+
+    `is_transient`: the cause may pass, as that of a full disk.
+    """
+
+    def __init__(self, text: str, *, is_transient: bool = False) -> None:
+        super().__init__(text)
+        self.is_transient = is_transient
 
 
 class StoreLockedError(StoreError):
--- a/corallanding/store/database_file.py
+++ b/corallanding/store/database_file.py
@@ -8,6 +8,20 @@
 from pathlib import Path
 
 BUSY_TIMEOUT_SECONDS = 0.02  # short: waiting for a locked file blocks the event loop
+PRIMARY_CODE_MASK = 0xFF
+TRANSIENT_CODES = frozenset(
+    {
+        *(sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR, sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED),
+        *(sqlite3.SQLITE_NOMEM, sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_PROTOCOL),
+    }
+)
+"""Primary result codes of a disk that is full or fails, and of resources that lack for a moment."""
+
+
+def is_transient(error: sqlite3.Error | ValueError) -> bool:
+    """Return whether the operation may succeed if it is repeated, on the same file."""
+    code = getattr(error, "sqlite_errorcode", None)
+    return code is not None and code & PRIMARY_CODE_MASK in TRANSIENT_CODES
 
 
 def lock_database(path: str | Path) -> int:
--- a/corallanding/store/sqlite.py
+++ b/corallanding/store/sqlite.py
@@ -16,8 +16,9 @@
 from typing import Any
 
 from ..interface import HostEntry, stored_names
+from ..transient_errors import is_transient as is_transient_call
 from .api import StoreContents, StoreError, StoreLockedError, TableEntry
-from .database_file import lock_database, open_database
+from .database_file import is_transient, lock_database, open_database
 
 SCHEMA_VERSION = 1
 CREATE_TABLES = """
@@ -81,7 +82,7 @@
             return self._begin_start()
         except sqlite3.Error as error:
             self.close()
-            raise StoreError(f"{self.path}: {error}") from None
+            raise StoreError(f"{self.path}: {error}", is_transient=is_transient(error)) from None
         except BaseException:
             self.close()
             raise
@@ -92,7 +93,7 @@
         except BlockingIOError:
             raise StoreLockedError(f"{self.path}: store is locked by another controller") from None
         except OSError as error:
-            raise StoreError(f"{self.path}: {error.strerror}") from None
+            raise StoreError(f"{self.path}: {error.strerror}", is_transient=is_transient_call(error)) from None
 
     def _begin_start(self) -> StoreContents:
         """Increment the start number, and read what the previous start stored."""
@@ -193,7 +194,7 @@
                     connection.execute("rollback")
                 raise
         except sqlite3.Error as error:
-            raise StoreError(f"{self.path}: {error}") from None
+            raise StoreError(f"{self.path}: {error}", is_transient=is_transient(error)) from None
 
     def _check_start_number(self) -> None:
         found = self.read_meta(START_NUMBER_KEY)
--- a/tests/controller/program.py
+++ b/tests/controller/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -22,6 +23,7 @@
         self.path.write_text(configuration)
         self.log = folder / "log"
         self.process: subprocess.Popen[bytes] | None = None
+        self.environment: dict[str, str] = {}  # in addition to that of the test
 
     def __enter__(self) -> ControllerProgram:
         return self
@@ -39,7 +41,7 @@
         """Start the program."""
         command = [sys.executable, "-m", "corallanding.cli.main", "steward", "--config", str(self.path)]
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(command, stdout=log, stderr=log)
+            self.process = subprocess.Popen(command, stdout=log, stderr=log, env={**os.environ, **self.environment})
 
     async def start(self, event: str = "ready") -> dict[str, Any]:
         """Start the program; return the first log entry of this start whose event starts with `event`."""
