The admin server answers requests that it has received before it closes their connections

Callers: at the stop of a steward a request on the admin port is read and its connection closed with no answer. Cause: AdminServer.close closed the transports; what aiohttp had received waited for its task. Change: such a connection gets 503 'stopping' first.

--- a/corallanding/admin/http_server.py
+++ b/corallanding/admin/http_server.py
@@ -67,9 +67,12 @@
         return web.Response(status=response.status, body=response.body, headers={"Content-Type": response.content_type})
 
     def close(self) -> None:
-        """Close all connections at once."""
+        """Close all connections at once; requests that have been received and not answered get an error."""
         for connection in list(self.open_connections):
-            connection.disconnect()
+            if connection.received_bytes:
+                connection.reject(error_response(HTTPStatus.SERVICE_UNAVAILABLE, "stopping"))
+            else:
+                connection.disconnect()
 
 
 class AdminConnection(RequestHandler):
