Versions of the host list that begin again do not hide restarts of hosts

Callers: after discovery has started anew with lower versions, hosts that restart with a clock set back would never warm up. Evidence: test_host_when_versions_of_the_list_begin_again_then_its_restarts_are_noticed failed before.

--- a/corallanding/assignment/host_list.py
+++ b/corallanding/assignment/host_list.py
@@ -20,7 +20,7 @@
 class ReceivedList:
     """The list or changes that an entry is part of.
 
-    `is_first`: no host was listed before. `is_outdated`: a newer list has been received already.
+    `is_first`: no host was listed before. `is_outdated`: its version is below that of the list before.
     """
 
     kind: api.HostListKind
@@ -31,10 +31,12 @@
 def _is_new_process(host: Host, entry: api.HostEntry, received: ReceivedList) -> bool:
     """Return whether an entry tells of another process than the last one; its start may seem earlier.
 
-    Entries without a start time, and those of an outdated list, tell of none.
+    Entries without a start time tell of none, and an outdated list may repeat a former process.
     """
-    if entry.online_since == 0.0 or received.is_outdated:
+    if entry.online_since == 0.0:
         return False
+    if received.is_outdated:
+        return entry.online_since > host.entry.online_since
     return entry.online_since != host.entry.online_since
 
 
@@ -52,7 +54,7 @@
         self.hosts = hosts
         self.has_fresh_list = False
         self.random_draws = 0  # random numbers derived from `seed` so far
-        self.version = 0  # the highest version of a list
+        self.version = 0  # the version of the last list
 
     def get_or_create(self, host_id: int) -> Host:
         """Return the host with that id; an unknown host is added as not listed."""
@@ -72,7 +74,7 @@
             is_first=all(host.process_started_at_ms == -math.inf for host in self.hosts.values()),
             is_outdated=event.version < self.version,
         )
-        self.version = max(self.version, event.version)
+        self.version = event.version
         for entry in event.entries:
             self._apply_entry(entry, received)
         self.has_fresh_list = self.has_fresh_list or event.kind is not api.HostListKind.SAVED
--- a/tests/assignment/test_warming_hosts.py
+++ b/tests/assignment/test_warming_hosts.py
@@ -137,6 +137,31 @@
     assert host(scenario, 12).is_warming_up
 
 
+def list_version(scenario: Scenario, version: int, since: float) -> None:
+    """Apply changes of a version of the list in which host 12 has a start time."""
+    entries = (host_entry(12, since=since),)
+    scenario.step(api.HostListUpdate(api.HostListKind.CHANGES, version, entries), api.TimerFired(0))
+
+
+def test_host_when_an_outdated_list_repeats_its_former_process_then_it_has_not_restarted() -> None:
+    scenario = settled_scenario()
+    list_version(scenario, 7, scenario.now_ms)
+    scenario.run(WARM_UP_S + 1.0, all_answered)
+    list_version(scenario, 6, START_MS - HOUR_MS)
+    list_version(scenario, 8, host(scenario, 12).entry.online_since)
+    assert not host(scenario, 12).is_warming_up
+
+
+def test_host_when_versions_of_the_list_begin_again_then_its_restarts_are_noticed() -> None:
+    """Guards against a new source of the list, whose versions are lower, that is taken for outdated for good."""
+    scenario = settled_scenario()
+    list_version(scenario, 70, scenario.now_ms)
+    scenario.run(WARM_UP_S + 1.0, all_answered)
+    list_version(scenario, 1, START_MS - HOUR_MS)
+    list_version(scenario, 2, START_MS - HOUR_MS + 5_000.0)
+    assert host(scenario, 12).is_warming_up
+
+
 def test_warming_host_when_its_fair_load_is_zero_then_it_has_no_headroom() -> None:
     """Guards against a fair load of zero, as of a fleet that was never seen to answer, that counted as no load."""
     scenario = settled_scenario()
