run ends at once on SIGTERM while it waits for its address

Callers: a controller that gets SIGTERM while its address is in use ends up to 10 s later. Evidence: test_run_when_it_is_stopped_while_its_address_is_in_use_then_it_ends_at_once failed before. Change: listening gives up after a stop; the two loops that repeat an operation share what ends them.

--- a/corallanding/platform/service.py
+++ b/corallanding/platform/service.py
@@ -109,15 +109,15 @@
     async def run(self) -> None:
         """Run until `stop`. Raises OSError if the listening address cannot be used for `MAX_LISTEN_SECONDS`."""
         self.server = await retry_transient(self.listen, MAX_LISTEN_SECONDS)
-        if self.is_stopping:
-            self.server.close()
-        else:
+        if self.server:
             self.start()
         await self.call_connection.finished.wait()  # takes at most the answer timeout of a call
         self.call_connection.close()
 
-    def listen(self) -> CollectorServer:
-        """Return a server at the listening address. Raises OSError."""
+    def listen(self) -> CollectorServer | None:
+        """Return a server at the listening address, None after `stop`. Raises OSError."""
+        if self.is_stopping:
+            return None
         config = self.config
         return CollectorServer(config.listen, self.intake, max_unidentified(config), self.on_events, self.warn)
 
--- a/corallanding/transient_errors.py
+++ b/corallanding/transient_errors.py
@@ -42,8 +42,7 @@
         try:
             return operation()
         except OSError as error:
-            if not is_transient(error) or time.monotonic() >= deadline_s:
-                raise
+            _raise_if_final(error, deadline_s)
         await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
 
@@ -54,6 +53,10 @@
         try:
             return operation()
         except OSError as error:
-            if not is_transient(error) or time.monotonic() >= deadline_s:
-                raise
+            _raise_if_final(error, deadline_s)
         time.sleep(RETRY_INTERVAL_SECONDS)
+
+
+def _raise_if_final(error: OSError, deadline_s: float) -> None:
+    if not is_transient(error) or time.monotonic() >= deadline_s:
+        raise error
--- a/tests/platform/test_failing_calls.py
+++ b/tests/platform/test_failing_calls.py
@@ -66,6 +66,23 @@
     run_async(scenario)
 
 
+def test_run_when_it_is_stopped_while_its_address_is_in_use_then_it_ends_at_once(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        address = free_address()
+        host, _, port = address.rpartition(":")
+        server = await asyncio.start_server(lambda _reader, _writer: None, host, int(port))
+        process = ControllerProcess({**CONFIG_FILE, "listen": address}, tmp_path / "config.json")
+        await process.start()
+        await asyncio.sleep(2.0)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(2.0):
+            code, log = await process.wait_exit()
+        server.close()
+        assert code == 0, log
+
+    run_async(scenario)
+
+
 def test_reload_when_the_file_cannot_be_read_for_a_moment_then_the_new_addresses_are_used(tmp_path: Path) -> None:
     """Guards against a reload that is given up, so that the addresses of before stay in use for good."""
 
--- a/tests/soak/faulty_days.py
+++ b/tests/soak/faulty_days.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from platform2.settings import Site
+from platform2.trouble import Changes
 
 from tests.failing_calls import environment
 
@@ -31,6 +32,7 @@
     1.0  # reports a second, so that the reports of all hosts and slices take some 6 s, as in the full fleet
 )
 HOT_SHARE = (0.02, 0.2)  # of all requests: what 1 to 10 hosts get
+REPLACED_AFTER_S = 4.5  # from a host's drain to its end: longer than the grace
 DAY_S = 34.0
 MAX_LAG_MS = 250.0
 ENDED_BY_SIGNAL = 2
@@ -82,7 +84,7 @@
             FAILING_SHARE=str(self.random.choice([50, 200, 1000])),
             FAILING_SEED=str(self.seed),
             SHORT_BYTES=str(self.random.choice([200, 1_000])),
-            CLOCK_STEP=f"{self.random.randrange(0, 12_000)}:{step_ms}",
+            CLOCK_STEP=f"{self.random.choice([0, self.random.randrange(12_000)])}:{step_ms}",
         )
 
     async def play(self) -> Outcome:
@@ -120,12 +122,12 @@
             if crowd.counts["lost"] or crowd.counts["late"]:
                 self.world.judge.breach("unanswered", f"requests at n{me}: {dict(crowd.counts)}")
 
-    async def _end_controller(self, number: signal.Signals, away_s: float) -> None:
-        """End the first controller and start it again; one that is killed can answer nothing."""
-        crowd = self.crowds.get(0)
+    async def _end_controller(self, me: int, number: signal.Signals, away_s: float) -> None:
+        """End a controller and start it again; one that is killed can answer nothing."""
+        crowd = self.crowds.get(me)
         if crowd and number is signal.SIGKILL:
             crowd.is_killed = True
-        await self.world.restart_steward(0, number, away_s)
+        await self.world.restart_steward(me, number, away_s)
         if crowd:
             crowd.is_killed = False
 
@@ -141,16 +143,18 @@
             self.lag_ms = max(self.lag_ms, self.world.now() - due)
 
     async def _signals(self) -> None:
-        """End the first controller in series: at once, with notice, at once."""
-        first = self.random.uniform(3.0, 7.0)
-        second = self.random.uniform(12.0, 17.0)
-        third = self.random.uniform(22.0, 27.0)
-        await asyncio.sleep(first)
-        await self._end_controller(signal.SIGKILL, self.random.uniform(1.0, 2.5))
-        await asyncio.sleep(max(0.0, second - self.world.now() / 1000.0))
-        await self._end_controller(signal.SIGTERM, self.random.uniform(1.5, 6.0))
-        await asyncio.sleep(max(0.0, third - self.world.now() / 1000.0))
-        await self._end_controller(signal.SIGKILL, self.random.uniform(0.3, 2.5))
+        """End the first controller in series: at once, with notice, at once; on some days others with it at last."""
+        first_s = self.random.uniform(3.0, 7.0)
+        second_s = self.random.uniform(12.0, 17.0)
+        third_s = self.random.uniform(22.0, 27.0)
+        await asyncio.sleep(first_s)
+        await self._end_controller(0, signal.SIGKILL, self.random.uniform(1.0, 2.5))
+        await asyncio.sleep(max(0.0, second_s - self.world.now() / 1000.0))
+        await self._end_controller(0, signal.SIGTERM, self.random.uniform(1.5, 6.0))
+        await asyncio.sleep(max(0.0, third_s - self.world.now() / 1000.0))
+        ended = [0, *self.random.choice([[], [2, 3]])]
+        away_s = self.random.uniform(0.3, 2.5)
+        await asyncio.gather(*(self._end_controller(me, signal.SIGKILL, away_s) for me in ended))
 
     async def _demand(self) -> None:
         """Let a few slices have much of the traffic for a while, often such as are at warming hosts, then others."""
@@ -164,15 +168,21 @@
             await asyncio.sleep(self.random.uniform(3.0, 8.0))
 
     async def _host_faults(self) -> None:
-        """Let a zone or some of the hosts die and return cold, in place, one group after the other."""
+        """Let a zone or some of the hosts die and return cold, in place, or be replaced, one group after the other."""
+        changes = Changes(self.world)
         await asyncio.sleep(self.random.uniform(3.0, 6.0))
         while True:
-            times = self.random.uniform(0.5, 6.0), self.random.uniform(0.5, 10.0), self.random.uniform(0.22, 2.5)
-            self.world.spawn(self.world.restart_hosts(self._draw_hosts(), *times))
+            names = self._draw_hosts()
+            if self.random.random() < 0.3:
+                self.world.spawn(changes.replace(names, REPLACED_AFTER_S))
+            else:
+                times = self.random.uniform(0.5, 6.0), self.random.uniform(0.5, 10.0), self.random.uniform(0.22, 2.5)
+                self.world.spawn(self.world.restart_hosts(names, *times))
             await asyncio.sleep(self.random.uniform(5.0, 9.0))
 
     def _draw_hosts(self) -> list[str]:
-        alive = [host.name for host in self.world.hosts.values() if host.is_alive]
+        hosts = self.world.hosts.values()
+        alive = [host.name for host in hosts if host.is_alive and host.health == "in_service"]
         if self.random.random() < 0.3:
             zone = self.random.choice(self.world.zones)
             return [name for name in alive if self.world.hosts[name].zone == zone]
