A controller that starts anew trusts ages of hosts only where its first list proves them

Callers: a controller that starts after its wall clock was set forward, by seconds or an hour, takes a host that has just started for a warm one, leaves slices on it and gives it more; it fails when one of them comes into demand. Cause: ages of the first list were the difference of that list's start times and the controller's wall clock. Change: a host of the first list is warm if it states no start, if another host started a warm-up time later (and not in the future), or if it is older than two hours; else it warms up from now.

--- a/corallanding/assignment/host_list.py
+++ b/corallanding/assignment/host_list.py
@@ -16,16 +16,22 @@
 """Minimum and random spread of the delay after a failed poll of the host list, as shares of the poll interval."""
 
 
+MAX_CLOCK_STEP_MS = 2 * 3_600_000.0
+"""The age beyond which a host is old by any wall clock: clocks are set by up to an hour."""
+
+
 @dataclass(frozen=True)
 class ReceivedList:
     """The list or changes that an entry is part of.
 
-    `is_first`: no host was listed before. `is_outdated`: its version is below that of the list before.
+    `is_first`: no host was listed before. `is_outdated`: its version is below that of the list before. `last_start_ms`:
+    the last process start in it that is not ahead of this controller's clock.
     """
 
     kind: api.HostListKind
     is_first: bool
     is_outdated: bool
+    last_start_ms: float
 
 
 def _is_new_process(host: Host, entry: api.HostEntry, received: ReceivedList) -> bool:
@@ -40,6 +46,12 @@
     return entry.online_since != host.entry.online_since
 
 
+def _last_start_ms(entries: Iterable[api.HostEntry], now_ms: float) -> float:
+    """Return the last process start that is stated and not ahead of the clock; minus infinity if there is none."""
+    starts = (entry.online_since for entry in entries if entry.online_since != 0.0)
+    return max((start for start in starts if start <= now_ms), default=-math.inf)
+
+
 class HostList:
     """All hosts that were ever mentioned and not removed from memory, whether they are listed or not.
 
@@ -73,6 +85,7 @@
             kind=event.kind,
             is_first=all(host.process_started_at_ms == -math.inf for host in self.hosts.values()),
             is_outdated=event.version < self.version,
+            last_start_ms=_last_start_ms(event.entries, self.publication.now_ms),
         )
         self.version = event.version
         for entry in event.entries:
@@ -118,15 +131,27 @@
     def _on_first_entry(self, host: Host, entry: api.HostEntry, received: ReceivedList) -> None:
         """Record the process of a host that is listed for the first time.
 
-        Its age is known only from the first list: a host that is added later may have just started, and the wall
-        clocks of two machines need not agree.
+        Its age is known only from the first list, and only if that list proves it: a host that is added later may have
+        just started, and the wall clocks of two machines need not agree.
         """
-        now_ms = self.publication.now_ms
-        is_added = not received.is_first and entry.online_since > 0.0
-        if is_added or entry.online_since > now_ms - self.settings.warm_up_ms:
+        is_old = entry.online_since == 0.0 or (received.is_first and self._is_proven_warm(entry, received))
+        if is_old:
+            host.process_started_at_ms = entry.online_since
+        else:
             self._on_process_start(host)
-        if not is_added:
-            host.process_started_at_ms = min(entry.online_since, now_ms)
+
+    def _is_proven_warm(self, entry: api.HostEntry, received: ReceivedList) -> bool:
+        """Return whether a host of the first list must be warm, although this machine's wall clock may be set forward.
+
+        It is if another host started a warm-up time later, or if it is older than a clock may be wrong.
+        """
+        age_ms = self.publication.now_ms - entry.online_since
+        if age_ms > MAX_CLOCK_STEP_MS:
+            return True
+        return (
+            age_ms >= self.settings.warm_up_ms
+            and entry.online_since <= received.last_start_ms - self.settings.warm_up_ms
+        )
 
     def _on_process_start(self, host: Host) -> None:
         """Record a new process of a host, and discard the observations of the previous one.
--- a/tests/assignment/generated_days.py
+++ b/tests/assignment/generated_days.py
@@ -80,7 +80,7 @@
         self.assigner = make_assigner(self.settings, plan.seed)
         self.checksum = 0
         for host_id in range(plan.hosts):
-            self.fleet.add(host_id, -50_000.0)
+            self.fleet.add(host_id, 0.0)
         self.step(self.initial_events(plan.hosts))
 
     def step(self, events: list[api.Event]) -> None:
--- a/tests/assignment/test_warm_up.py
+++ b/tests/assignment/test_warm_up.py
@@ -36,7 +36,7 @@
     young = [host_entry(host_id, since=START_MS - 8000) for host_id in (12, 13, 14)]
     scenario.start([*HOSTS[:1], *young], owners)
     scenario.run(3, all_answered)
-    scenario.note("14 is 11 s old and its answers come too late: what it holds leaves without gate or hold")
+    scenario.note("answers of 14 come too late: what it holds leaves without gate or hold")
     late_answers: list[api.Event] = [api.HostUsageReport(0, 14, 40, 30, 2000.0, 1000.0)]
     scenario.run(2, lambda: usage_reports(equal_attempts((11, 12, 13), 20)) + late_answers)
     scenario.check_trace("late_cold")
--- a/tests/assignment/test_warming_hosts.py
+++ b/tests/assignment/test_warming_hosts.py
@@ -137,6 +137,23 @@
     assert host(scenario, 12).is_warming_up
 
 
+@pytest.mark.parametrize("step_ms", [7_000.0, HOUR_MS])
+def test_first_list_when_the_clock_was_set_forward_before_the_start_then_its_young_host_warms_up(
+    step_ms: float,
+) -> None:
+    """Guards against a controller that starts anew and takes a host which has just started for one that is warm."""
+    young = host_entry(14, since=START_MS - step_ms - 10_000.0)
+    older = host_entry(13, since=START_MS - step_ms - 30_000.0)
+    ancient = host_entry(12, since=START_MS - 3.0 * HOUR_MS)
+    scenario = Scenario()
+    scenario.start([HOSTS[0], ancient, older, young], {slice_id: 11 + slice_id % 4 for slice_id in range(8)})
+    warming = [host_id for host_id in (11, 12, 13, 14) if host(scenario, host_id).is_warming_up]
+    assert warming == [14]
+    assert served_by(scenario.assigner, 14) == []
+    scenario.run(WARM_UP_S + 1.0, all_answered)
+    assert not host(scenario, 14).is_warming_up
+
+
 def list_version(scenario: Scenario, version: int, since: float) -> None:
     """Apply changes of a version of the list in which host 12 has a start time."""
     entries = (host_entry(12, since=since),)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import os
 import random
 import socket
@@ -215,16 +214,17 @@
             self._fall(host, budget, share)
 
     def _is_knowing(self, proxy: Any, controller: int, host: Host) -> bool:
-        """Return whether the load counts: a message to the proxy was sent in knowledge, or the grace has passed."""
-        start = (host.name, int(host.born_ms))
-        for sender, sent_ms in proxy.last_sent_ms.items():
-            if sent_ms > self.learned_ms[sender].get(start, math.inf):
-                return True
-        begin = self._limits_begin(controller)
-        learned = self.learned_ms[controller].get(start)
-        if learned is None or begin is None:
+        """Return whether the load counts: the last message was sent in knowledge, or the grace has passed.
+
+        Messages of a controller that has ended since count, as what it knew when it sent them.
+        """
+        learned = self.learned_ms[controller].get((host.name, int(host.born_ms)))
+        if learned is None:
             return False
-        return self.now() > max(learned, begin) + self.site.drain_grace + SLACK_MS
+        if proxy.last_sent_ms.get(controller, 0.0) > learned:
+            return True
+        begin = self._limits_begin(controller)
+        return begin is not None and self.now() > max(learned, begin) + self.site.drain_grace + SLACK_MS
 
     def _fall(self, host: Host, budget: WarmingBudget, share: float) -> None:
         knowing = budget.knowing_share()
