--- a/tests/collector/test_server.py
+++ b/tests/collector/test_server.py
@@ -4,49 +4,15 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
-from typing import Any
 
 import pytest
-from forced_order import PeerConnection, block_loop, run_async, until, yield_to_loop
-from platform_samples import host_report, report_intake, slice_report
+from forced_order import block_loop, run_async, until, yield_to_loop
+from platform_samples import host_report, slice_report
 
 from corallanding.collector import server as server_module
-from corallanding.collector.server import CollectorServer
 from corallanding.collector.session import HEARTBEAT_ANSWER, REJECT
 from corallanding.resp import encode
-
-IDENTIFICATION = encode(["telemetry", "locality", "a"])
-HEARTBEAT = encode(["hb"])
-
-
-class ServerHarness:
-    """A server on this event loop, the reports it received, and connections to it."""
-
-    def __init__(self, max_unidentified: int = 16) -> None:
-        self.events: list[Any] = []
-        self.server = CollectorServer(
-            ("127.0.0.1", 0), report_intake({3}), max_unidentified, self.events.extend, lambda text: None
-        )
-
-    async def connect(self, *messages: bytes) -> PeerConnection:
-        peer = PeerConnection(*await asyncio.open_connection(*self.server.listener.socket.getsockname()))
-        peer.send(*messages)
-        return peer
-
-
-@contextlib.asynccontextmanager
-async def server_harness(**arguments: Any) -> AsyncIterator[ServerHarness]:
-    harness = ServerHarness(**arguments)
-    try:
-        yield harness
-    finally:
-        harness.server.close()
-
-
-async def read_all(peer: PeerConnection) -> bytes:
-    """Return the bytes received until the connection ends."""
-    return await peer.reader.read()
+from tests.collector.support import HEARTBEAT, IDENTIFICATION, read_all, server_harness
 
 
 @pytest.fixture
@@ -97,45 +63,6 @@
     run_async(scenario)
 
 
-@pytest.mark.parametrize("first_message", [b"", IDENTIFICATION])
-def test_heartbeats_when_the_server_is_closed_before_it_is_ready_then_they_are_rejected(first_message: bytes) -> None:
-    """Guards against requests that were read and whose connection is closed with no answer."""
-
-    async def scenario() -> None:
-        async with server_harness() as harness:
-            peer = await harness.connect(first_message + HEARTBEAT * 20)
-            await until(lambda: harness.server.unanswered_count)
-            harness.server.close()
-            assert await read_all(peer) == REJECT
-
-    run_async(scenario)
-
-
-def test_heartbeat_when_its_collector_is_replaced_before_the_answer_then_it_is_rejected() -> None:
-    async def scenario() -> None:
-        async with server_harness() as harness:
-            first = await harness.connect(IDENTIFICATION + HEARTBEAT)
-            await until(lambda: harness.server.unanswered_count)
-            later = [await harness.connect(IDENTIFICATION) for _ in range(4)]
-            assert await read_all(first) == REJECT
-            assert len(later) == 4
-
-    run_async(scenario)
-
-
-def test_heartbeats_when_the_peer_sends_no_more_before_the_server_is_ready_then_all_are_answered() -> None:
-    async def scenario() -> None:
-        async with server_harness() as harness:
-            peer = await harness.connect(HEARTBEAT * 20)
-            peer.writer.write_eof()
-            await until(lambda: any(connection.is_half_closed for connection in harness.server.unidentified))
-            harness.server.set_ready()
-            assert await read_all(peer) == HEARTBEAT_ANSWER * 20
-            await until(lambda: not harness.server.unidentified)
-
-    run_async(scenario)
-
-
 def test_collector_when_hundreds_are_unidentified_then_it_can_identify_itself(short_timeout: None) -> None:
     async def scenario() -> None:
         async with server_harness(max_unidentified=8) as harness:
--- a/tests/platform/test_failing_calls.py
+++ b/tests/platform/test_failing_calls.py
@@ -51,13 +51,19 @@
     run_async(scenario)
 
 
+async def start_at_address_in_use(folder: Path) -> tuple[str, asyncio.Server, ControllerProcess]:
+    """Start a controller whose address a server of the test uses; return address, server and controller."""
+    address = free_address()
+    host, _, port = address.rpartition(":")
+    server = await asyncio.start_server(lambda _reader, _writer: None, host, int(port))
+    process = ControllerProcess({**CONFIG_FILE, "listen": address}, folder / "config.json")
+    await process.start()
+    return address, server, process
+
+
 def test_run_when_its_address_is_in_use_then_it_ends_with_code_1_in_the_end(tmp_path: Path) -> None:
     async def scenario() -> None:
-        address = free_address()
-        host, _, port = address.rpartition(":")
-        server = await asyncio.start_server(lambda _reader, _writer: None, host, int(port))
-        process = ControllerProcess({**CONFIG_FILE, "listen": address}, tmp_path / "config.json")
-        await process.start()
+        address, server, process = await start_at_address_in_use(tmp_path)
         code, log = await process.wait_exit()
         server.close()
         assert code == 1
@@ -68,11 +74,7 @@
 
 def test_run_when_it_is_stopped_while_its_address_is_in_use_then_it_ends_at_once(tmp_path: Path) -> None:
     async def scenario() -> None:
-        address = free_address()
-        host, _, port = address.rpartition(":")
-        server = await asyncio.start_server(lambda _reader, _writer: None, host, int(port))
-        process = ControllerProcess({**CONFIG_FILE, "listen": address}, tmp_path / "config.json")
-        await process.start()
+        _, server, process = await start_at_address_in_use(tmp_path)
         await asyncio.sleep(2.0)
         process.send_signal(signal.SIGTERM)
         async with asyncio.timeout(2.0):
