Slices leave warming hosts as soon as the fleet needs these no more

Callers: after three zones were lost in series a host of the second one fails at 0.93 of its capacity, 1.8 s after a slice came into demand there. Cause: slices that a warming host took while it was needed stayed for a window, also once warm hosts sufficed again. The new test of the assigner failed before. Change: they leave at once. What the window guarded against, moves to and fro, is bounded by three slices a host and window.

--- a/corallanding/assignment/warming_hosts.py
+++ b/corallanding/assignment/warming_hosts.py
@@ -94,12 +94,8 @@
         return removed
 
     def _max_utilization(self, host: Host) -> float:
-        """Return the utilization to which a host is unloaded; below zero if it must serve nothing.
-
-        Slices that it took when it was needed stay for a window, since the fleet may be calm because of that. Others
-        date from before its start, or were taken over from another controller.
-        """
-        if not self.fleet.needs_warming_hosts and not host.slices_taken:
+        """Return the utilization to which a host is unloaded; below zero if it must serve nothing."""
+        if not self.fleet.needs_warming_hosts:
             return SERVES_NOTHING
         max_utilization = WARM_UP_OVERLOAD_SHARE * self.settings.overload_factor
         since_shed_ms = self.publication.now_ms - host.shed_at_ms
--- a/tests/assignment/test_warming_hosts.py
+++ b/tests/assignment/test_warming_hosts.py
@@ -103,6 +103,17 @@
     assert any(served_by(scenario.assigner, new) for new in (21, 22, 23))
 
 
+def test_warming_host_when_the_fleet_needs_it_no_more_then_slices_that_it_has_just_taken_leave_too() -> None:
+    """Guards against slices that stay on a warming host after a time in which too few others were warm."""
+    scenario = settled_scenario()
+    scenario.list_hosts(host_entry(12, since=scenario.now_ms))
+    scenario.run(2, all_answered)
+    host(scenario, 12).slices_taken = 1
+    host(scenario, 12).taking_window_started_at_ms = scenario.now_ms
+    grant(scenario, range(4), 12)
+    assert served_by(scenario.assigner, 12) == []
+
+
 def test_warming_host_when_its_start_is_ahead_of_the_clock_then_it_gets_no_slice() -> None:
     """Guards against a negative age: the capacity was negative, and so the headroom without limit."""
     scenario = settled_scenario()
