run says when its listening address is refused

Cause: a start that waits for its address was silent, and the test of a stop in that time had to guess when it had begun. Change: the first refusal is logged; the test waits for that line.

--- a/corallanding/platform/service.py
+++ b/corallanding/platform/service.py
@@ -51,14 +51,8 @@
         self.logger = RateLimitedLogger()
         settings = config.settings
         self.inbox = EventInbox(Assigner(settings, config.seed, proxies_keep_orders=True))
-        self.decisions = DecisionLoop(
-            self.inbox,
-            self.clock,
-            settings.decision_interval_ms,
-            settings.report_interval_ms,
-            self.carry_out,
-            self.on_step,
-        )
+        intervals_ms = settings.decision_interval_ms, settings.report_interval_ms
+        self.decisions = DecisionLoop(self.inbox, self.clock, *intervals_ms, self.carry_out, self.on_step)
         self._create_host_list()
         self._create_relay()
         self.intake = ReportIntake(settings, config.names, self.host_list.addresses, self.relay_view.tables)
@@ -108,7 +102,9 @@
 
     async def run(self) -> None:
         """Run until `stop`. Raises OSError if the listening address cannot be used for `MAX_LISTEN_SECONDS`."""
-        self.server = await retry_transient(self.listen, MAX_LISTEN_SECONDS)
+        self.server = await retry_transient(
+            self.listen, MAX_LISTEN_SECONDS, lambda error: self.warn(f"listening is refused for now: {error}")
+        )
         if self.server:
             self.start()
         await self.call_connection.finished.wait()  # takes at most the answer timeout of a call
--- a/corallanding/transient_errors.py
+++ b/corallanding/transient_errors.py
@@ -35,14 +35,20 @@
     return error.errno in TRANSIENT_ERRNOS
 
 
-async def retry_transient(operation: Callable[[], T], max_seconds: float) -> T:
+async def retry_transient(
+    operation: Callable[[], T], max_seconds: float, on_first_failure: Callable[[OSError], None]
+) -> T:
     """Return the result of `operation`, repeated while it raises transient errors; raise the last one in the end."""
     deadline_s = time.monotonic() + max_seconds
+    is_first = True
     while True:
         try:
             return operation()
         except OSError as error:
             _raise_if_final(error, deadline_s)
+            if is_first:
+                on_first_failure(error)
+                is_first = False
         await asyncio.sleep(RETRY_INTERVAL_SECONDS)
 
 
--- a/tests/platform/test_failing_calls.py
+++ b/tests/platform/test_failing_calls.py
@@ -12,6 +12,7 @@
 from platform_samples import CONFIG_FILE
 from platform_standins import ControllerProcess, StandInDiscovery, free_address, until
 
+from corallanding.platform.service import MAX_LISTEN_SECONDS
 from tests.failing_calls import environment
 from tests.platform.setup import running_platform
 
@@ -75,9 +76,10 @@
 def test_run_when_it_is_stopped_while_its_address_is_in_use_then_it_ends_at_once(tmp_path: Path) -> None:
     async def scenario() -> None:
         _, server, process = await start_at_address_in_use(tmp_path)
-        await asyncio.sleep(2.0)
+        assert process.process.stderr
+        assert b"listening is refused for now" in await process.process.stderr.readline()
         process.send_signal(signal.SIGTERM)
-        async with asyncio.timeout(2.0):
+        async with asyncio.timeout(MAX_LISTEN_SECONDS / 2.0):
             code, log = await process.wait_exit()
         server.close()
         assert code == 0, log
