Whether a host may take slices is asked in one place; an unused field of Evacuation goes

Cause: the estimate and the placement each stated when a warming host may take slices; Evacuation kept settings that only its former part used. Change: FleetEstimate.may_take_slices serves both; the field is gone. Behaviour is as before.

--- a/corallanding/assignment/evacuation.py
+++ b/corallanding/assignment/evacuation.py
@@ -27,7 +27,6 @@
         warming_hosts: WarmingHosts,
         fleet: FleetEstimate,
     ) -> None:
-        self.settings = host_health.settings
         self.host_health = host_health
         self.slices = slices
         self.placement = placement
--- a/corallanding/assignment/load_estimate.py
+++ b/corallanding/assignment/load_estimate.py
@@ -11,7 +11,7 @@
 from .limits import FAILURE_MEMORY_MS, MAX_UTILIZATION, OUTLIER_FACTOR, OVERLOAD_RATIO
 from .rendezvous import RendezvousTable
 from .state import FleetEstimate, Host, SpareLoad, upper_median
-from .warming_hosts import may_take_slices, needs_warming_hosts
+from .warming_hosts import needs_warming_hosts
 
 RAMP_SHARE_OF_WARM_UP = 0.75
 """Share of the warm-up time in which a new host's capacity share grows to the full one (12 to 13.5 s)."""
@@ -188,7 +188,7 @@
         A warming host gets at most the peak load: with more requests than that, a full share would overload it.
         """
         fleet = self.fleet
-        capacity = sum(host.capacity for host in serving if host.load or may_take_slices(host, fleet))
+        capacity = sum(host.capacity for host in serving if host.load or fleet.may_take_slices(host))
         owned_share = len(self.slices) / (self.settings.slice_count or 1)
         counts_per_second = math.log(2.0) * 1000.0 / (PEAK_HALF_LIFE_REPORTS * self.settings.report_interval_ms)
         self._update_peak(capacity, owned_share, counts_per_second)
--- a/corallanding/assignment/placement.py
+++ b/corallanding/assignment/placement.py
@@ -114,10 +114,10 @@
 
         A warming one takes slices only if it is needed, and at most `max_taken` per window, by quota.
         """
+        if not self.fleet.may_take_slices(host):
+            return False
         if not host.is_warming_up:
             return True
-        if not self.fleet.needs_warming_hosts:
-            return False
         return host.slices_taken < max_taken and self.publication.may_begin(QuotaKind.WARM_UP_SLICES, host.id, False)
 
     def passes_gate(self, slice_: Slice, destination: Host) -> bool:
--- a/corallanding/assignment/state.py
+++ b/corallanding/assignment/state.py
@@ -133,3 +133,7 @@
     eligible_hosts: list[Host] = field(default_factory=list)
     spare_loads: list[SpareLoad] = field(default_factory=list)  # spare loads of the healthy hosts, ascending
     hosts_with_changed_load: dict[Host, None] = field(default_factory=dict)  # since `spare_loads` was computed
+
+    def may_take_slices(self, host: Host) -> bool:
+        """Return whether a host is warm, or needed while it warms up."""
+        return self.needs_warming_hosts or not host.is_warming_up
--- a/corallanding/assignment/warming_hosts.py
+++ b/corallanding/assignment/warming_hosts.py
@@ -35,11 +35,6 @@
     return upper_median([host.latency_ratio for host in warm]) > OVERLOAD_RATIO
 
 
-def may_take_slices(host: Host, fleet: FleetEstimate) -> bool:
-    """Return whether a host is warm, or needed while it warms up."""
-    return fleet.needs_warming_hosts or not host.is_warming_up
-
-
 class WarmingHosts:
     """Removes slices from warming hosts: all of them while warm hosts suffice, else what is beyond their capacity."""
 
