Entries that wait for room in the queue are sent in large messages

Cause: an urgent message was sent as soon as it could carry more lines than its own overhead. Postponed entries make a decision due in every step, so that in a full queue each message had 8 entries beside 10 lines of overhead, and most of the channel carried overhead.

Change: while lines wait already, an urgent message that could carry less than three fifths of the largest one waits for room, for a third of the drain grace after the last message at most. Nothing waits longer than the limit on messages allowed before.

--- a/corallanding/assignment/publication.py
+++ b/corallanding/assignment/publication.py
@@ -8,7 +8,7 @@
 
 from .. import interface as api
 from .cordon_delivery import CordonDelivery
-from .message_limit import MessageLimit
+from .message_limit import URGENT_DELAY_SHARE, MessageLimit
 from .pending_versions import PendingVersions
 from .state import Host, Slice
 
@@ -33,6 +33,12 @@
 ORDINARY_QUEUE_SHARE = 0.5
 """Share of the queue limit that ordinary decisions may fill."""
 
+WORTHWHILE_SHARE = 0.6
+"""Share of the largest urgent message that must fit, or the message waits for room in the queue.
+
+A small message takes more of the channel for its overhead than for its lines.
+"""
+
 CLOSING_LINES = 2
 """Lines reserved in each message in addition to its table entries: the admission level and the version."""
 
@@ -86,6 +92,7 @@
         self.pending_versions = PendingVersions()
         self.cordon_delivery = CordonDelivery(hosts, self.pending_versions)
         self.is_decision_due = False  # a decision is due in this step, or in the next one that has an event
+        self.was_decision_due = False  # it has been due since an earlier step: there was no room for all lines
         self.due_reasons: set[DecisionReason] = set()
         self.message_counts: Counter[DecisionReason] = Counter()
         self.line_budget = 0.0
@@ -98,6 +105,7 @@
         """Start a step at `now_ms` without any actions."""
         self.now_ms = now_ms
         self.actions = []
+        self.was_decision_due = self.is_decision_due
 
     def require_decision(self, reason: DecisionReason) -> None:
         """Make a decision due as soon as a message may be sent."""
@@ -111,7 +119,11 @@
         return reasons
 
     def may_publish(self, *, is_urgent: bool) -> bool:
-        """Return whether a message may be sent now; set `line_budget` unless the message limit forbids it."""
+        """Return whether a message may be sent now; set `line_budget` unless the message limit forbids it.
+
+        While lines wait already, a message that would be small waits for room in the queue, for a part of the drain
+        grace at most.
+        """
         settings = self.settings
         messages = self.pending_versions.messages_since(self.now_ms - self.message_limit.window_ms)
         if self.now_ms < self.message_limit.earliest_send_ms(self.pending_versions.sent_at_ms):
@@ -120,11 +132,22 @@
         if settings.max_messages and not is_urgent and messages >= max_ordinary:
             return False
         queue_share = URGENT_QUEUE_SHARE if is_urgent else ORDINARY_QUEUE_SHARE
-        free_lines = settings.max_queued_lines * queue_share - self.pending_versions.queued_lines()
-        lines_per_proxy = free_lines / max(1, len(self.pending_versions.unacked_by_proxy))
-        self.line_budget = lines_per_proxy - settings.message_overhead_lines - CLOSING_LINES - self.lines_published
+        proxy_count = max(1, len(self.pending_versions.unacked_by_proxy))
+        message_cost_lines = settings.message_overhead_lines + CLOSING_LINES
+        max_lines = settings.max_queued_lines * queue_share / proxy_count - message_cost_lines
+        queued_lines = self.pending_versions.queued_lines() / proxy_count
+        self.line_budget = max_lines - queued_lines - self.lines_published
+        if is_urgent and self.line_budget < max_lines * WORTHWHILE_SHARE and self._waits_for_room():
+            return False
         return self.line_budget > settings.message_overhead_lines
 
+    def _waits_for_room(self) -> bool:
+        """Return whether lines wait already, which a small message would delay, and the last one was sent just now."""
+        sent_at_ms = self.pending_versions.sent_at_ms
+        if not self.was_decision_due or not sent_at_ms:
+            return False
+        return self.now_ms - sent_at_ms[-1] < self.settings.drain_grace_ms * URGENT_DELAY_SHARE
+
     def write_table(self, slice_: Slice, *, removes_cordoned: bool = False) -> None:
         """Publish the changes that make the table of a slice match its owner, replicas and previous owner.
 
--- a/tests/snapshot/test_assigner_state.py
+++ b/tests/snapshot/test_assigner_state.py
@@ -30,7 +30,14 @@
         # Shown in traces only.
         *("due_reasons", "message_counts"),
         # Recomputed within a step, or at the start of each decision.
-        *("actions", "is_ordinary_decision_due", "eligible_hosts", "spare_loads", "hosts_with_changed_load"),
+        *(
+            "actions",
+            "is_ordinary_decision_due",
+            "was_decision_due",
+            "eligible_hosts",
+            "spare_loads",
+            "hosts_with_changed_load",
+        ),
         "needs_warming_hosts",
         # A restored assigner takes the next host list as newer than the one before.
         "version",
