Slices without a usable host are written by how long they have waited

Callers would see: requests refused for a slice of an earlier wave of drains, while slices of a later wave get their hosts.

Cause: slices whose hosts are all cordoned came first, but among themselves in the order of their numbers, and one whose new owner left before its entry was written counted as a new one. Slices without any entry were not among them.

The longest wait comes first, then the busiest slice.

--- a/corallanding/assignment/evacuation.py
+++ b/corallanding/assignment/evacuation.py
@@ -33,30 +33,36 @@
         self.fleet = fleet
         self.publication = host_health.publication
         self.warming_hosts = warming_hosts
+        self.stranded_since_ms: dict[int, float] = {}  # by slice that has no usable host in its table
 
     def evacuate_unavailable_hosts(self) -> None:
         """Reassign the slices without a usable owner: those of leaving hosts first, then the busiest.
 
-        Slices whose tables name cordoned hosts only come before all others, as proxies cannot send their requests.
+        Slices whose tables name no host, or cordoned ones only, come before all others, as proxies cannot send their
+        requests. Of these, the ones that have waited longest come first, and then the busiest.
         """
         self._drop_ineligible_hosts()
         staying = self._staying_hosts()
         stranded = self._stranded_slices()
-        self._write_assigned(stranded)
-        self._reassign(slice_ for slice_ in stranded if slice_.owner not in staying)
+        for slice_ in stranded:
+            if slice_.owner in staying:
+                self._write_assigned([slice_])
+            else:
+                self._reassign_slice(slice_)
         self._write_assigned(self.slices.values())
         orphaned = [slice_ for slice_ in self.slices.values() if slice_.owner not in staying]
         self._reassign([*orphaned, *self.warming_hosts.unload()])
 
     def _stranded_slices(self) -> list[Slice]:
-        """Return the slices whose tables name cordoned hosts only."""
-        if not any(host.is_cordoned for host in self.host_health.hosts.values()):
-            return []
-        return [
-            slice_
-            for slice_ in self.slices.values()
-            if slice_.weights and all(host.is_cordoned for host in slice_.weights)
-        ]
+        """Return the slices whose tables name no host, or cordoned ones only, by the time they wait."""
+        stranded = [slice_ for slice_ in self.slices.values() if all(host.is_cordoned for host in slice_.weights)]
+        former = self.stranded_since_ms
+        self.stranded_since_ms = {slice_.id: former.get(slice_.id, self.publication.now_ms) for slice_ in stranded}
+        return sorted(stranded, key=self._waiting_order)
+
+    def _waiting_order(self, slice_: Slice) -> tuple[float, float, int]:
+        """Sort key of stranded slices: the longest wait first, then the busiest; ids break ties."""
+        return self.stranded_since_ms[slice_.id], -slice_.requests_per_second, slice_.id
 
     def _write_assigned(self, slices: Iterable[Slice]) -> None:
         """Write the tables of slices with an eligible owner that exceeded the line budget before."""
--- a/corallanding/snapshot/assigner_state.py
+++ b/corallanding/snapshot/assigner_state.py
@@ -18,7 +18,7 @@
 from ..assignment.pending_versions import UnackedVersion
 from ..assignment.state import Host, Slice
 from ..errors import StorageError
-from .stored_fields import HOST_ATTRIBUTES, SLICE_ATTRIBUTES, VALUE_PATHS
+from .stored_fields import HOST_ATTRIBUTES, OPTIONAL_VALUE_PATHS, SLICE_ATTRIBUTES, VALUE_PATHS
 
 HOST_FIELDS = list(HOST_ATTRIBUTES)
 SLICE_FIELDS = list(SLICE_ATTRIBUTES)
@@ -80,7 +80,7 @@
     """Complete state of an assigner, under its stored names."""
 
     seed: int = msgspec.field(name="seed")
-    values: dict[str, Any] = msgspec.field(name="values")  # keys of `VALUE_PATHS`
+    values: dict[str, Any] = msgspec.field(name="values")  # keys of the value paths
     proxies: list[tuple[int, list[tuple[int, float]]]] = msgspec.field(name="proxies")  # unacked versions
     sent: list[float] = msgspec.field(name="sent")  # times of sent messages in ms
     typical: list[tuple[int, float]] = msgspec.field(name="typical")  # typical latency in ms by kind of host
@@ -101,7 +101,7 @@
     pending = assigner.pending_versions
     return AssignerState(
         seed=assigner.seed,
-        values=dict(zip(VALUE_PATHS, _assigner_values(assigner), strict=True)),
+        values=_stored_values(assigner),
         proxies=[(proxy, list(unacked)) for proxy, unacked in pending.unacked_by_proxy.items()],
         sent=list(pending.sent_at_ms),
         typical=list(assigner.fleet.typical_latency_ms_by_kind.items()),
@@ -115,6 +115,14 @@
     )
 
 
+def _stored_values(assigner: Assigner) -> dict[str, Any]:
+    values = dict(zip(VALUE_PATHS, _assigner_values(assigner), strict=True))
+    for name, path in OPTIONAL_VALUE_PATHS.items():
+        if value := attrgetter(path)(assigner):
+            values[name] = value
+    return values
+
+
 def dump_slice(slice_: Slice) -> StoredSlice:
     """Return the stored form of a slice; rates become pairs, since their order is part of the state."""
     fields = list(_slice_values(slice_))
@@ -195,9 +203,10 @@
 
 
 def load_values(assigner: Assigner, values: dict[str, Any]) -> None:
-    """Set the attributes that `VALUE_PATHS` gives for these values. Raises `AssignerStateError` for an unknown name."""
+    """Set the attributes at the paths of these values. Raises `AssignerStateError` for an unknown name."""
+    paths = VALUE_PATHS | OPTIONAL_VALUE_PATHS
     for name, value in values.items():
-        if name not in VALUE_PATHS:
+        if name not in paths:
             raise AssignerStateError(f"unknown stored value {name}", [name])
-        part, _, attribute = VALUE_PATHS[name].rpartition(".")
+        part, _, attribute = paths[name].rpartition(".")
         setattr(attrgetter(part)(assigner) if part else assigner, attribute, value)
--- a/corallanding/snapshot/stored_fields.py
+++ b/corallanding/snapshot/stored_fields.py
@@ -72,3 +72,7 @@
     "whole": "fleet.site_load_per_capacity",
     "heaviest": "fleet.max_score_factor",
 }
+# Likewise, but stored only while they are not empty: earlier versions do not know them.
+OPTIONAL_VALUE_PATHS: dict[str, str] = {
+    "stranded": "evacuation.stranded_since_ms",
+}
--- a/tests/assignment/test_evacuation.py
+++ b/tests/assignment/test_evacuation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from corallanding import interface as api
+from corallanding.assignment import Assigner
 from tests.assignment.support import HOSTS, Scenario, all_answered, equal_attempts, host_entry, settled_scenario
 
 
@@ -76,3 +77,45 @@
     assert assigner.hosts[17].is_cordoned
     stranded = [slice_.id for slice_ in assigner.slices.values() if all(host.is_cordoned for host in slice_.weights)]
     assert stranded == []
+
+
+def test_drains_in_two_waves_when_few_entries_fit_then_slices_that_wait_longest_come_first() -> None:
+    """Guards against slices without a usable host that wait anew with each wave, because others have lower numbers.
+
+    Two waves of three hosts drain, the second while most slices of the first have no usable host yet. A message has
+    room for a few entries; the proxies acknowledge each after a second.
+    """
+    hosts = [host_entry(host) for host in range(11, 19)]
+    scenario = Scenario(max_queued_lines=40.0, message_overhead_lines=1.0, slice_count=128)
+    assigner = scenario.assigner
+    scenario.step(
+        api.HostListUpdate(api.HostListKind.FULL, 1, tuple(hosts)),
+        *(api.SliceOwnershipChange(slice_id, True) for slice_id in range(128)),
+        *(api.StoredWeight(slice_id, 11 + slice_id // 16, 1.0) for slice_id in range(128)),
+        *(api.ProxyJoined(proxy, 0, 10.0, True) for proxy in range(2)),
+    )
+    scenario.run(3)
+    scenario.step(api.HostListUpdate(api.HostListKind.CHANGES, 2, _draining(16, 17, 18)))
+    first_wave = _stranded(assigner)
+    _acknowledge(scenario, api.HostListUpdate(api.HostListKind.CHANGES, 3, _draining(11, 12, 13)))
+    second_wave = _stranded(assigner) - first_wave
+    assert second_wave, "the second wave is expected to wait"
+    while first_wave & _stranded(assigner):
+        assert second_wave <= _stranded(assigner), "a slice of the second wave got a host before one of the first"
+        _acknowledge(scenario)
+
+
+def _acknowledge(scenario: Scenario, *events: api.Event) -> None:
+    """Let all proxies acknowledge the last message after a second."""
+    scenario.now_ms += 1_000.0
+    last_version = scenario.assigner.pending_versions.last_version
+    scenario.step(*(api.VersionAcked(proxy, last_version) for proxy in range(2)), *events)
+
+
+def _draining(*host_ids: int) -> tuple[api.HostEntry, ...]:
+    return tuple(host_entry(host, "draining") for host in host_ids)
+
+
+def _stranded(assigner: Assigner) -> set[int]:
+    """Return the slices whose tables name cordoned hosts only."""
+    return {s.id for s in assigner.slices.values() if all(host.is_cordoned for host in s.weights)}
--- a/tests/snapshot/test_assigner_state.py
+++ b/tests/snapshot/test_assigner_state.py
@@ -9,7 +9,7 @@
 from corallanding.assignment import Assigner
 from corallanding.snapshot import file
 from corallanding.snapshot.assigner_state import AssignerState, AssignerStateError, dump, load
-from corallanding.snapshot.stored_fields import VALUE_PATHS
+from corallanding.snapshot.stored_fields import OPTIONAL_VALUE_PATHS, VALUE_PATHS
 from tests.assignment.generated_days import QUOTE, SCENARIO_PLANS, GeneratedScenario, ScenarioPlan, golden_checksums
 
 GOLDEN_CHECKSUMS = golden_checksums()
@@ -47,7 +47,10 @@
 )
 
 STORED_SEPARATELY = frozenset(
-    {"pending_versions.unacked_by_proxy", "pending_versions.sent_at_ms", "fleet.typical_latency_ms_by_kind"}
+    {
+        *("pending_versions.unacked_by_proxy", "pending_versions.sent_at_ms", "fleet.typical_latency_ms_by_kind"),
+        *OPTIONAL_VALUE_PATHS.values(),
+    }
 )
 
 
@@ -106,3 +109,14 @@
     with pytest.raises(AssignerStateError, match="unknown_field") as raised:
         load(assigner.settings, state)
     assert raised.value.names == ["unknown_field"]
+
+
+def test_waits_of_slices_without_a_usable_host_when_loaded_then_they_go_on() -> None:
+    """Guards against a loaded assigner that writes such slices in another order than the stored one would have."""
+    settings = api.Settings(request_classes=(QUOTE,))
+    assigner = Assigner(settings, 1)
+    assigner.step(0.0, [api.SliceOwnershipChange(7, True)])
+    assert "stranded" in dump(assigner).values
+    data = file.pack(dump(assigner))
+    loaded = load(settings, file.unpack(data, AssignerState))
+    assert loaded.evacuation.stranded_since_ms == assigner.evacuation.stranded_since_ms == {7: 0.0}
