Cordons of an earlier run are lifted in the first messages, and with each entry that needs it

Cause: proxies keep the cordons of the earlier run, which the new one does not know. They were lifted two or three hosts a message, in ordinary decisions only, not at all while urgent messages filled the queue; and new owners were chosen among the hosts that proxies still excluded.

Change: they are lifted in every decision, with up to a quarter of the message, before new owners are written; an entry that is added takes the lift of its host along.

--- a/corallanding/assignment/assigner.py
+++ b/corallanding/assignment/assigner.py
@@ -169,13 +169,13 @@
         reasons = publication.take_due_reasons()
         self.cordon_delivery.update()
         self.cordons.update()
+        self.cordons.lift_earlier_cordons()
         self.evacuation.evacuate_unavailable_hosts()
         if self.is_ordinary_decision_due or publication.lines_published:
             self.cordons.republish_own_orders()
         if self.is_ordinary_decision_due:
             self.forget_departed_hosts()
             if publication.may_publish(is_urgent=False):
-                self.cordons.lift_earlier_cordons()
                 self._decide_ordinary()
         if self.slices:
             self.admission.publish()
--- a/corallanding/assignment/cordon_delivery.py
+++ b/corallanding/assignment/cordon_delivery.py
@@ -28,6 +28,7 @@
         self.pending_versions = pending_versions
         self.order_messages: dict[int, int] = {}  # by host id
         self.due_hosts: dict[int, None] = {}  # host ids in the order in which they became due
+        self.has_fresh_list = False  # the states of hosts are certain
         # A proxy may hold a cordon of a host that is not known: from an earlier run, or from before it was forgotten.
         self.are_new_hosts_due = False
         # Of the proxies that joined, or may have joined, since the last `update`:
@@ -48,6 +49,10 @@
         self.oldest_applied_message = min([self.oldest_applied_message, *joined])
         self.may_lack_cordons = True
 
+    def needs_lift(self, host: Host) -> bool:
+        """Return whether an entry of a usable host is of no use at some proxy until its cordon is lifted there."""
+        return self.has_fresh_list and host.id in self.due_hosts and host.is_eligible and not host.is_cordoned
+
     def on_published(self, host: Host) -> None:
         """Record that the next message carries the state of this host."""
         self.order_messages[host.id] = self.pending_versions.next_message
--- a/corallanding/assignment/cordons.py
+++ b/corallanding/assignment/cordons.py
@@ -13,8 +13,11 @@
 REPUBLISHED_SHARE = 0.25
 """Share of the line budget of a message that orders which are published again may take."""
 
-LIFTED_SHARE = 0.05
-"""Share of the line budget of a message for cordons of earlier runs, which few of the hosts have."""
+LIFTED_SHARE = 0.25
+"""Share of the line budget of a message for the cordons of earlier runs.
+
+Until they are lifted, a proxy may have no host for a slice. Entries that are added take their own lifts along.
+"""
 
 
 class Cordons:
@@ -32,6 +35,7 @@
         A cordon excludes a host with one line instead of one for each slice, which matters when many hosts drain at
         once and there are many proxies. Ordinary decisions remove the table entries later.
         """
+        self.delivery.has_fresh_list = self.host_health.host_list.has_fresh_list
         is_leaving = self.host_health.is_leaving
         leaving = {host for host in self.host_health.hosts.values() if is_leaving(host) and not host.is_cordoned}
         if leaving:
--- a/corallanding/assignment/publication.py
+++ b/corallanding/assignment/publication.py
@@ -152,7 +152,8 @@
         """Publish the changes that make the table of a slice match its owner, replicas and previous owner.
 
         Entries are added before others are removed. Entries of cordoned hosts are kept unless `removes_cordoned`.
-        Changes that exceed the line budget are postponed to a later step.
+        Cordons of earlier runs that would exclude an added host are lifted with it. Changes that exceed the line budget
+        are postponed to a later step.
         """
         if (
             self.line_budget >= 0
@@ -166,9 +167,12 @@
         added = [host for host in hosts if host not in slice_.weights]
         removed = [host for host in slice_.weights if host not in hosts]
         removed = [host for host in removed if removes_cordoned or not host.is_cordoned]
-        if len(added) + len(removed) > self.line_budget:
+        lifted = [host for host in added if self.cordon_delivery.needs_lift(host)]
+        if len(added) + len(removed) + len(lifted) > self.line_budget:
             self.require_decision(DecisionReason.POSTPONED_ENTRIES)
             return
+        for host in lifted:
+            self.set_cordon(host, is_cordoned=False)
         self.line_budget = self.line_budget - len(added) - len(removed)
         self.lines_published += len(added) + len(removed)
         self._apply(slice_, added, removed)
--- a/tests/simulated_site/disruptions.py
+++ b/tests/simulated_site/disruptions.py
@@ -52,12 +52,20 @@
 
         self.clock.after(seconds * 1_000.0, restart)
 
-    def replace(self, hosts: list[Host], end_after_ms: float) -> None:
-        """Let hosts drain, end them later, and start replacements under new ids."""
+    def list_as_gone(self, hosts: list[Host], seconds: float) -> None:
+        """List hosts as gone, and later as they were: only discovery lost sight of them."""
+        self._set_state(hosts, api.HostState.REMOVED)
+        self.clock.after(seconds * 1_000.0, lambda: self._set_state(hosts, api.HostState.UP))
+
+    def _set_state(self, hosts: list[Host], state: api.HostState) -> None:
         for host in hosts:
-            host.state = api.HostState.DRAINING
+            host.state = state
         self.changed += hosts
 
+    def replace(self, hosts: list[Host], end_after_ms: float) -> None:
+        """Let hosts drain, end them later, and start replacements under new ids."""
+        self._set_state(hosts, api.HostState.DRAINING)
+
         def end() -> None:
             for host in hosts:
                 host.state = api.HostState.REMOVED
--- a/tests/simulated_site/test_slices_without_hosts.py
+++ b/tests/simulated_site/test_slices_without_hosts.py
@@ -24,13 +24,17 @@
     day = Day(site, seed)
     disruptions = Disruptions(day)
     day.run(14.0)
-    hosts = [host for host in day.hosts.values() if host.zone != 0]
-    day.rng.shuffle(hosts)
     disruptions.lose_zone(0, 5.0)
     day.run(2.0)
+    _deploy(day, disruptions)
+    return day.judge.finish()
+
+
+def _deploy(day: Day, disruptions: Disruptions) -> None:
+    hosts = [host for host in day.hosts.values() if host.zone != 0]
+    day.rng.shuffle(hosts)
     disruptions.deploy(hosts[:DEPLOYED_HOSTS], HOSTS_PER_STEP, STEP_PERIOD_MS, HOST_END_MS)
     day.run(DEPLOYED_HOSTS / HOSTS_PER_STEP * STEP_PERIOD_MS / 1_000.0 + QUIET_SECONDS)
-    return day.judge.finish()
 
 
 def check_rules(site: Site, findings: Findings) -> None:
@@ -46,3 +50,47 @@
     """Guards against a full channel that is spent on the overheads of messages with a few entries each."""
     site = Site(slices=SLICES)
     check_rules(site, deploy_after_lost_zone(site, seed))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_slices_when_a_restarted_controller_deploys_then_its_former_cordons_leave_none_without_a_host(
+    seed: int,
+) -> None:
+    """Guards against new owners that proxies exclude, as the controller that cordoned them has been restarted since."""
+    day = Day(Site(), seed)
+    disruptions = Disruptions(day)
+    day.run(14.0)
+    disruptions.lose_zone(0, 9.0, is_listed=True)
+    day.run(2.0)
+    disruptions.restart_controller(0, 1_500.0)
+    day.run(9.0)
+    _deploy(day, disruptions)
+    check_rules(day.site, day.judge.finish())
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_slices_when_a_zone_returns_to_a_restarted_controller_then_each_has_a_host_in_time(seed: int) -> None:
+    """Guards against moves to hosts that proxies exclude since an earlier run of the controller cordoned them."""
+    day = Day(Site(), seed)
+    disruptions = Disruptions(day)
+    day.run(14.0)
+    disruptions.list_as_gone(disruptions.zone_hosts(0), 8.0)
+    day.run(2.0)
+    disruptions.restart_controller(0, 1_500.0)
+    day.run(6.0 + QUIET_SECONDS)
+    check_rules(day.site, day.judge.finish())
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_slices_when_a_wrong_list_ends_during_a_restart_then_each_has_a_host_in_time(seed: int) -> None:
+    """Guards against cordons of an earlier run that are lifted a few hosts a message, while tables name these hosts."""
+    day = Day(Site(), seed)
+    disruptions = Disruptions(day)
+    day.run(14.0)
+    hosts = list(day.hosts.values())
+    day.rng.shuffle(hosts)
+    disruptions.list_as_gone(hosts[: int(0.6 * len(hosts))], 2.0)
+    day.run(0.9)
+    disruptions.restart_controller(0, 1_500.0)
+    day.run(1.5 + QUIET_SECONDS)
+    check_rules(day.site, day.judge.finish())
