--- a/corallanding/relay/channel.py
+++ b/corallanding/relay/channel.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 MAX_MESSAGE_LINES = 1e6  # if the queue has no limit
+LEVEL_LINES = 1  # the admission level for all tables travels with every message
 
 
 def _no_proxies() -> int:
@@ -34,12 +35,12 @@
 
     def cost(self, order_count: int) -> float:
         """Return the lines that a message with `order_count` orders takes, summed over all proxies."""
-        return (order_count + self.message_overhead_lines) * self.proxy_count()
+        return (order_count + LEVEL_LINES + self.message_overhead_lines) * self.proxy_count()
 
     def max_orders(self) -> int:
         """Return the number of orders in the largest message that fits into the empty queue, at least 1."""
         lines_per_proxy = min(self.max_lines / max(1, self.proxy_count()), MAX_MESSAGE_LINES)
-        return max(1, int(lines_per_proxy - self.message_overhead_lines))
+        return max(1, int(lines_per_proxy - LEVEL_LINES - self.message_overhead_lines))
 
     def queued_at(self, now_ms: float) -> float:
         """Return the lines queued at `now_ms`, which must not decrease between calls."""
--- a/tests/simulated_site/controller.py
+++ b/tests/simulated_site/controller.py
@@ -24,6 +24,8 @@
 MIN_STEP_INTERVAL_MS = 10.0
 ANSWER_TIMEOUT_MS = 100.0
 MAX_CALL_MS = 10.0
+LIMITS_WAIT_MS = 1_500.0
+"""How long the site's limits on time wait for a call that the relay does not answer."""
 HEALTH_CHECK_MS = 5.0
 
 
@@ -126,6 +128,7 @@
                 self._apply(orders)
             if is_lost or is_answer_lost:
                 self.day.counts["calls without an answer"] += 1
+                self.day.judge.waits[self.number].add(self.clock.now_ms, LIMITS_WAIT_MS)
                 self.clock.after(ANSWER_TIMEOUT_MS, self._on_outcome_unknown)
                 return
             answer = msgspec.json.encode({"jsonrpc": "2.0", "id": call_id, "result": {"taken": len(orders)}})
