A draining host is cordoned if its entries would have to wait behind others

Callers would see: requests to a draining host after the grace.

Cause: whether the lines of a draining host fit the message was decided without the lines that waited already, and those of slices without a usable host are written first. So the drain was neither cordoned nor written, and waited for a message more; when that one was lost, for too long.

Change: the lines that wait are counted, so that such a host is cordoned.

--- a/corallanding/assignment/cordons.py
+++ b/corallanding/assignment/cordons.py
@@ -36,16 +36,27 @@
         once and there are many proxies. Ordinary decisions remove the table entries later.
         """
         self.delivery.has_fresh_list = self.host_health.host_list.has_fresh_list
+        leaving = self._hosts_to_cordon()
+        returning = [
+            host
+            for host in self.host_health.hosts.values()
+            if host.is_cordoned and not self.host_health.is_leaving(host)
+        ]
+        for host in (*leaving, *returning):
+            self.publication.set_cordon(host, is_cordoned=host in leaving)
+
+    def _hosts_to_cordon(self) -> list[Host]:
+        """Return the leaving hosts in tables, if their entries do not fit beside those that wait already."""
         is_leaving = self.host_health.is_leaving
         leaving = {host for host in self.host_health.hosts.values() if is_leaving(host) and not host.is_cordoned}
-        if leaving:
-            leaving = {host for slice_ in self.slices.values() for host in slice_.weights if host in leaving}
-        affected = sum(not leaving.isdisjoint(slice_.weights) for slice_ in self.slices.values()) if leaving else 0
-        exceeds_budget = LINES_PER_MOVE * affected > self.publication.line_budget
-        for host in self.host_health.hosts.values():
-            is_cordoned = is_leaving(host) and (host.is_cordoned or (exceeds_budget and host in leaving))
-            if host.is_cordoned != is_cordoned:
-                self.publication.set_cordon(host, is_cordoned=is_cordoned)
+        if not leaving:
+            return []
+        leaving = {host for slice_ in self.slices.values() for host in slice_.weights if host in leaving}
+        affected = sum(not leaving.isdisjoint(slice_.weights) for slice_ in self.slices.values())
+        needed_lines = self.publication.waiting_lines(self.slices.values()) + LINES_PER_MOVE * affected
+        if needed_lines <= self.publication.line_budget:
+            return []
+        return [host for host in self.host_health.hosts.values() if host in leaving]
 
     def republish_own_orders(self) -> None:
         """Publish the last cordon orders of this run again if a proxy may lack them."""
--- a/corallanding/assignment/publication.py
+++ b/corallanding/assignment/publication.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 from enum import StrEnum
 from typing import Protocol
 
@@ -53,6 +54,14 @@
     POSTPONED_ENTRIES = "postponed entries"  # table entries that exceeded the line budget
 
 
+def _changes(slice_: Slice, *, removes_cordoned: bool = False) -> tuple[list[Host], list[Host]]:
+    """Return the hosts that the table of a slice lacks, and those that it names needlessly."""
+    hosts = [host for host in (slice_.owner, *slice_.replicas, slice_.previous_owner) if host]
+    added = [host for host in hosts if host not in slice_.weights]
+    removed = [host for host in slice_.weights if host not in hosts]
+    return added, [host for host in removed if removes_cordoned or not host.is_cordoned]
+
+
 class QuotaKind(StrEnum):
     """Kinds of changes that a quota shared by all controllers limits, by their setting names (`docs/budgets.md`)."""
 
@@ -112,6 +121,10 @@
         self.is_decision_due = True
         self.due_reasons.add(reason)
 
+    def postpone(self) -> None:
+        """Make a decision due for lines that exceed the line budget of this one."""
+        self.require_decision(DecisionReason.POSTPONED_ENTRIES)
+
     def take_due_reasons(self) -> set[DecisionReason]:
         """Begin the decision that is due, and return what made it due."""
         reasons, self.due_reasons = self.due_reasons, set()
@@ -163,13 +176,10 @@
             and slice_.owner in slice_.weights
         ):
             return  # the usual case
-        hosts = [host for host in (slice_.owner, *slice_.replicas, slice_.previous_owner) if host]
-        added = [host for host in hosts if host not in slice_.weights]
-        removed = [host for host in slice_.weights if host not in hosts]
-        removed = [host for host in removed if removes_cordoned or not host.is_cordoned]
+        added, removed = _changes(slice_, removes_cordoned=removes_cordoned)
         lifted = [host for host in added if self.cordon_delivery.needs_lift(host)]
         if len(added) + len(removed) + len(lifted) > self.line_budget:
-            self.require_decision(DecisionReason.POSTPONED_ENTRIES)
+            self.postpone()
             return
         for host in lifted:
             self.set_cordon(host, is_cordoned=False)
@@ -177,6 +187,11 @@
         self.lines_published += len(added) + len(removed)
         self._apply(slice_, added, removed)
 
+    def waiting_lines(self, slices: Iterable[Slice]) -> int:
+        """Return how many lines are needed for the tables of slices that have an eligible owner."""
+        assigned = (slice_ for slice_ in slices if slice_.owner and slice_.owner.is_eligible)
+        return sum(len(added) + len(removed) for added, removed in map(_changes, assigned))
+
     def _apply(self, slice_: Slice, added: list[Host], removed: list[Host]) -> None:
         self.actions += [api.SetWeight(slice_.id, host.id, 1.0) for host in added]
         self.actions += [api.SetWeight(slice_.id, host.id, 0.0) for host in removed]
--- a/tests/assignment/test_evacuation.py
+++ b/tests/assignment/test_evacuation.py
@@ -105,6 +105,25 @@
         _acknowledge(scenario)
 
 
+def test_a_drain_when_entries_of_others_wait_then_it_does_not_wait_behind_them() -> None:
+    """Guards against a host that is not cordoned as its few entries would fit, and then gets no room for them."""
+    scenario = Scenario(max_queued_lines=40.0, message_overhead_lines=1.0, slice_count=50)
+    assigner = scenario.assigner
+    owners = {slice_id: 12 + slice_id % 3 for slice_id in range(48)} | {48: 11, 49: 11}
+    scenario.step(
+        api.HostListUpdate(api.HostListKind.FULL, 1, tuple(host_entry(host) for host in range(11, 19))),
+        *(api.SliceOwnershipChange(slice_id, True) for slice_id in range(50)),
+        *(api.StoredWeight(slice_id, host, 1.0) for slice_id, host in owners.items()),
+        *(api.ProxyJoined(proxy, 0, 10.0, True) for proxy in range(2)),
+    )
+    scenario.run(3)
+    scenario.step(api.HostListUpdate(api.HostListKind.CHANGES, 2, _draining(12, 13, 14)))
+    assert _stranded(assigner), "slices of the first hosts are expected to wait"
+    _acknowledge(scenario, api.HostListUpdate(api.HostListKind.CHANGES, 3, _draining(11)))
+    drained = assigner.hosts[11]
+    assert drained.is_cordoned or not any(drained in slice_.weights for slice_ in assigner.slices.values())
+
+
 def _acknowledge(scenario: Scenario, *events: api.Event) -> None:
     """Let all proxies acknowledge the last message after a second."""
     scenario.now_ms += 1_000.0
