Cordons that do not fit a message wait for the next one

Callers would see: more lines in the channel than the site allows, when very many hosts leave at once.

Cause: cordons were ordered whatever room the message had.

--- a/corallanding/assignment/cordons.py
+++ b/corallanding/assignment/cordons.py
@@ -33,7 +33,8 @@
         """Cordon leaving hosts if removing their table entries exceeds the line budget; uncordon hosts that return.
 
         A cordon excludes a host with one line instead of one for each slice, which matters when many hosts drain at
-        once and there are many proxies. Ordinary decisions remove the table entries later.
+        once and there are many proxies. Ordinary decisions remove the table entries later. Orders that exceed the
+        budget wait for the next message; leaving hosts come first.
         """
         self.delivery.has_fresh_list = self.host_health.host_list.has_fresh_list
         leaving = self._hosts_to_cordon()
@@ -43,6 +44,9 @@
             if host.is_cordoned and not self.host_health.is_leaving(host)
         ]
         for host in (*leaving, *returning):
+            if self.publication.line_budget < 1.0:
+                self.publication.postpone()
+                return
             self.publication.set_cordon(host, is_cordoned=host in leaving)
 
     def _hosts_to_cordon(self) -> list[Host]:
--- a/tests/assignment/test_evacuation.py
+++ b/tests/assignment/test_evacuation.py
@@ -124,6 +124,25 @@
     assert drained.is_cordoned or not any(drained in slice_.weights for slice_ in assigner.slices.values())
 
 
+def test_cordons_when_they_exceed_the_queue_then_the_rest_waits_for_the_next_message() -> None:
+    """Guards against a message of cordons alone that is larger than the queue may be."""
+    scenario = Scenario(max_queued_lines=24.0, message_overhead_lines=1.0, slice_count=24)
+    assigner = scenario.assigner
+    scenario.step(
+        api.HostListUpdate(api.HostListKind.FULL, 1, tuple(host_entry(host) for host in range(11, 23))),
+        *(api.SliceOwnershipChange(slice_id, True) for slice_id in range(24)),
+        *(api.StoredWeight(slice_id, 11 + slice_id // 2, 1.0) for slice_id in range(24)),
+        *(api.ProxyJoined(proxy, 0, 10.0, True) for proxy in range(2)),
+    )
+    scenario.run(3)
+    draining = range(11, 21)
+    scenario.step(api.HostListUpdate(api.HostListKind.CHANGES, 2, _draining(*draining)))
+    while not all(assigner.hosts[host].is_cordoned for host in draining):
+        assert assigner.pending_versions.queued_lines() <= 24.0
+        _acknowledge(scenario)
+    assert assigner.pending_versions.queued_lines() <= 24.0
+
+
 def _acknowledge(scenario: Scenario, *events: api.Event) -> None:
     """Let all proxies acknowledge the last message after a second."""
     scenario.now_ms += 1_000.0
