The queue estimate of calls counts proxies that join while a call is under way

Cause: the lines of a call were counted for the proxies that had joined when it was sent; it reaches those that have joined when it is carried out.

Change: the count is raised when the call ends.

--- a/corallanding/relay/channel.py
+++ b/corallanding/relay/channel.py
@@ -31,6 +31,7 @@
     # State of the last call:
     lines_before_call: float = 0.0  # lines queued when the call was sent
     call_sent_at_ms: float = 0.0
+    call_orders: int = 0
     call_lines: float = 0.0  # lines that the call adds to the queue
 
     def cost(self, order_count: int) -> float:
@@ -53,6 +54,7 @@
         """Record that a call was sent; its message may be in the queue from `now_ms` on."""
         self.lines_before_call = self.queued_at(now_ms)
         self.call_sent_at_ms = now_ms
+        self.call_orders = order_count
         self.call_lines = self.cost(order_count)
         self.queued_lines = self.lines_before_call + self.call_lines
 
@@ -60,8 +62,10 @@
         """Record that the call was queued as a message by `at_ms`, or was not carried out at all.
 
         Up to `at_ms` only the lines queued before the call are certain to drain: a call may take longer to arrive than
-        the next one, and its lines must not count as drained before it arrived.
+        the next one, and its lines must not count as drained before it arrived. It reaches the proxies that have joined
+        by then.
         """
+        self.call_lines = max(self.call_lines, self.cost(self.call_orders))
         sent_lines = (at_ms - self.call_sent_at_ms) * self.lines_per_second / 1000.0
         self.queued_lines = max(0.0, self.lines_before_call - sent_lines) + self.call_lines * was_carried_out
         self.updated_at_ms = at_ms
--- a/tests/relay/test_call_limits.py
+++ b/tests/relay/test_call_limits.py
@@ -9,7 +9,7 @@
 
 from corallanding import interface as api
 from corallanding.assignment.message_limit import WINDOW_MARGIN_MS, MessageLimit
-from corallanding.relay.channel import LEVEL_LINES
+from corallanding.relay.channel import LEVEL_LINES, ChannelEstimate
 from tests.relay.calls import (
     LINES_PER_MS,
     MAX_QUEUED_LINES,
@@ -176,3 +176,15 @@
         sent += len(call.orders)
         assert answer_call(pending, now, result={"taken": len(call.orders)}) is not None
     assert sent == 5 * 200 + 1, "the versions replace one another"
+
+
+def test_channel_when_proxies_join_during_a_call_then_its_lines_for_them_count() -> None:
+    """Guards against the calls after a restart that overfill the queue, as the proxies join one after the other."""
+    proxy_count = 10
+    channel = ChannelEstimate(MAX_QUEUED_LINES, LINES_PER_MS * 1000.0, 8.0, lambda: proxy_count)
+    pending = make_pending_calls(channel=channel)
+    pending.add([api.SetWeight(slice_id, A, 1.0) for slice_id in range(50)])
+    assert pending.next_call(0.0)
+    proxy_count = 100
+    assert answer_call(pending, 0.0, result={"taken": 50}) is not None
+    assert channel.queued_at(0.0) == (50 + LEVEL_LINES + 8) * 100
