--- a/tests/simulated_site/disruptions.py
+++ b/tests/simulated_site/disruptions.py
@@ -63,6 +63,16 @@
 
         self.clock.after(seconds * 1_000.0, restore)
 
+    def take_out(self, hosts: list[Host], away_ms: float) -> None:
+        """List the hosts in service among these as draining, and later as up again unless they are replaced."""
+        taken = [host for host in hosts if host.state is api.HostState.UP]
+        self._set_state(taken, api.HostState.DRAINING)
+
+        def restore() -> None:
+            self._set_state([host for host in taken if host.id not in self.replaced], api.HostState.UP)
+
+        self.clock.after(away_ms, restore)
+
     def _set_state(self, hosts: list[Host], state: api.HostState) -> None:
         for host in hosts:
             host.state = state
--- a/tests/simulated_site/test_rules.py
+++ b/tests/simulated_site/test_rules.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.simulated_site import random_days
 from tests.simulated_site.day import Day
 from tests.simulated_site.disruptions import Disruptions
 from tests.simulated_site.judge import Findings
@@ -110,3 +111,10 @@
     disruptions.deploy(hosts[: int(0.6 * len(hosts))], 12, 1_750.0, HOST_END_MS)
     day.run(7.0 + QUIET_SECONDS)
     check_rules(day.site, day.judge.finish())
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_rules_when_several_disruptions_meet_on_a_random_day_then_they_are_kept(seed: int) -> None:
+    """Guards against faults of disruptions that meet; `random_days` plays longer series by hand."""
+    outcome = random_days.play(seed)
+    assert not outcome.broken_rules(), f"{outcome.disruptions}: {outcome.findings}"
