A slice that has never had an entry waits as such only once its entry is postponed

Change: such a slice counts as waiting from the decision after which its first entry is still missing; where everything fits, decisions are as before.

--- a/corallanding/assignment/evacuation.py
+++ b/corallanding/assignment/evacuation.py
@@ -38,8 +38,8 @@
     def evacuate_unavailable_hosts(self) -> None:
         """Reassign the slices without a usable owner: those of leaving hosts first, then the busiest.
 
-        Slices whose tables name no host, or cordoned ones only, come before all others, as proxies cannot send their
-        requests. Of these, the ones that have waited longest come first, and then the busiest.
+        Slices without a usable host in their tables come before all others, as proxies cannot send their requests. Of
+        these, the ones that have waited longest come first, and then the busiest.
         """
         self._drop_ineligible_hosts()
         staying = self._staying_hosts()
@@ -54,8 +54,15 @@
         self._reassign([*orphaned, *self.warming_hosts.unload()])
 
     def _stranded_slices(self) -> list[Slice]:
-        """Return the slices whose tables name no host, or cordoned ones only, by the time they wait."""
-        stranded = [slice_ for slice_ in self.slices.values() if all(host.is_cordoned for host in slice_.weights)]
+        """Return the slices to which proxies send nothing, by the time they wait.
+
+        Their tables name cordoned hosts only, or no host because their first entry has been postponed.
+        """
+        stranded = [
+            slice_
+            for slice_ in self.slices.values()
+            if (slice_.weights or slice_.owner) and all(host.is_cordoned for host in slice_.weights)
+        ]
         former = self.stranded_since_ms
         self.stranded_since_ms = {slice_.id: former.get(slice_.id, self.publication.now_ms) for slice_ in stranded}
         return sorted(stranded, key=self._waiting_order)
